--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; never part of the test verdict."""
--- /dev/null
+++ b/src/jackdawkeel/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent process, one beside each target."""
--- /dev/null
+++ b/src/jackdawkeel/console/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/src/jackdawkeel/console/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands of the command line, one module each."""
--- /dev/null
+++ b/src/jackdawkeel/controllers/__init__.py
@@ -0,0 +1,1 @@
+"""Controllers, one per kind of state, driven by messages and an injected clock."""
--- /dev/null
+++ b/src/jackdawkeel/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry process: HTTP towards callers and operators."""
--- /dev/null
+++ b/src/jackdawkeel/errors.py
@@ -0,0 +1,127 @@
+"""The closed list of error kinds and the table from kind to answer."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class Outcome(StrEnum):
+    """What became of a job."""
+
+    DONE = "done"
+    FAILED = "failed"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    RUNNING = "running"
+
+
+class ErrorKind(StrEnum):
+    """Every kind of error that an answer can carry."""
+
+    BAD_REQUEST = "bad_request"
+    NO_SUCH_PATH = "no_such_path"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
+    NO_SUCH_SERVICE = "no_such_service"
+    NO_SUCH_ID = "no_such_id"
+    NO_SUCH_TICKET = "no_such_ticket"
+    BODY_TOO_LARGE = "body_too_large"
+    CONFLICT = "conflict"
+    SUPERSEDED = "superseded"
+    OVER_QUOTA = "over_quota"
+    OVERLOADED = "overloaded"
+    NO_TARGET = "no_target"
+    DEADLINE_TOO_SHORT = "deadline_too_short"
+    DEADLINE_BEFORE_START = "deadline_before_start"
+    CANCELLED_BEFORE_START = "cancelled_before_start"
+    SHUTTING_DOWN = "shutting_down"
+    NOT_READY = "not_ready"
+    STORE_UNAVAILABLE = "store_unavailable"
+    TASK_FAILED = "task_failed"
+    TASK_UNKNOWN = "task_unknown"
+    DEADLINE_EXPIRED = "deadline_expired"
+    CANCELLED = "cancelled"
+    ANSWER_EXPIRED = "answer_expired"
+    HOME_GONE = "home_gone"
+    HOME_SILENT = "home_silent"
+    ID_EXPIRED = "id_expired"
+    TICKET_UNKNOWN = "ticket_unknown"
+    INTERNAL = "internal"
+
+
+@dataclass(frozen=True, slots=True)
+class ErrorRow:
+    """What callers are told for one kind of error.
+
+    Attributes:
+        outcome: The outcome in the answer.
+        status: The HTTP status.
+        final: Whether asking again with the same id can tell nothing more.
+        retry_after_ms: When coming back makes sense, in milliseconds, or None.
+    """
+
+    outcome: Outcome
+    status: int
+    final: bool = True
+    retry_after_ms: int | None = None
+
+
+ERROR_TABLE: dict[ErrorKind, ErrorRow] = {
+    ErrorKind.BAD_REQUEST: ErrorRow(Outcome.NOT_RUN, 400),
+    ErrorKind.NO_SUCH_PATH: ErrorRow(Outcome.NOT_RUN, 404),
+    ErrorKind.METHOD_NOT_ALLOWED: ErrorRow(Outcome.NOT_RUN, 405),
+    ErrorKind.NO_SUCH_SERVICE: ErrorRow(Outcome.NOT_RUN, 404),
+    ErrorKind.NO_SUCH_ID: ErrorRow(Outcome.NOT_RUN, 404),
+    ErrorKind.NO_SUCH_TICKET: ErrorRow(Outcome.NOT_RUN, 404),
+    ErrorKind.BODY_TOO_LARGE: ErrorRow(Outcome.NOT_RUN, 413),
+    ErrorKind.CONFLICT: ErrorRow(Outcome.UNKNOWN, 409, final=False),
+    ErrorKind.SUPERSEDED: ErrorRow(Outcome.NOT_RUN, 409),
+    ErrorKind.OVER_QUOTA: ErrorRow(Outcome.NOT_RUN, 429, retry_after_ms=1000),
+    ErrorKind.OVERLOADED: ErrorRow(Outcome.NOT_RUN, 503, retry_after_ms=1000),
+    ErrorKind.NO_TARGET: ErrorRow(Outcome.NOT_RUN, 503, retry_after_ms=2000),
+    ErrorKind.DEADLINE_TOO_SHORT: ErrorRow(Outcome.NOT_RUN, 503),
+    ErrorKind.DEADLINE_BEFORE_START: ErrorRow(
+        Outcome.NOT_RUN, 503, retry_after_ms=1000
+    ),
+    ErrorKind.CANCELLED_BEFORE_START: ErrorRow(Outcome.NOT_RUN, 503),
+    ErrorKind.SHUTTING_DOWN: ErrorRow(Outcome.NOT_RUN, 503, retry_after_ms=500),
+    ErrorKind.NOT_READY: ErrorRow(Outcome.NOT_RUN, 503, retry_after_ms=1000),
+    ErrorKind.STORE_UNAVAILABLE: ErrorRow(Outcome.NOT_RUN, 503, retry_after_ms=2000),
+    ErrorKind.TASK_FAILED: ErrorRow(Outcome.FAILED, 502),
+    ErrorKind.TASK_UNKNOWN: ErrorRow(Outcome.FAILED, 502),
+    ErrorKind.DEADLINE_EXPIRED: ErrorRow(Outcome.FAILED, 502),
+    ErrorKind.CANCELLED: ErrorRow(Outcome.FAILED, 502),
+    ErrorKind.ANSWER_EXPIRED: ErrorRow(Outcome.FAILED, 502),
+    ErrorKind.HOME_GONE: ErrorRow(Outcome.UNKNOWN, 504),
+    ErrorKind.HOME_SILENT: ErrorRow(
+        Outcome.UNKNOWN, 504, final=False, retry_after_ms=1000
+    ),
+    ErrorKind.ID_EXPIRED: ErrorRow(Outcome.UNKNOWN, 504),
+    ErrorKind.TICKET_UNKNOWN: ErrorRow(
+        Outcome.UNKNOWN, 504, final=False, retry_after_ms=1000
+    ),
+    ErrorKind.INTERNAL: ErrorRow(Outcome.UNKNOWN, 500, final=False),
+}
+
+OUTCOME_STATUS: dict[Outcome, int] = {
+    Outcome.DONE: 200,
+    Outcome.FAILED: 502,
+    Outcome.NOT_RUN: 503,
+    Outcome.UNKNOWN: 504,
+    Outcome.RUNNING: 202,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class DispatchError:
+    """An error on its way to a caller or operator.
+
+    Attributes:
+        kind: The kind, a key of ``ERROR_TABLE``.
+        message: One clear sentence for the reader.
+        retry_after_ms: Overrides the delay of the table, in milliseconds.
+    """
+
+    kind: ErrorKind
+    message: str
+    retry_after_ms: int | None = None
--- /dev/null
+++ b/src/jackdawkeel/job_id.py
@@ -0,0 +1,76 @@
+"""Job ids, which name the one agent that may admit them."""
+
+from __future__ import annotations
+
+import secrets
+import zlib
+from dataclasses import dataclass
+
+from result import Err
+from result import Ok
+from result import Result
+
+from .errors import DispatchError
+from .errors import ErrorKind
+
+
+INCARNATION_BYTES = 8
+NONCE_BYTES = 10
+CHECK_DIGITS = 4
+MAX_ERA_DIGITS = 9
+
+
+@dataclass(frozen=True, slots=True)
+class JobId:
+    """A job id: ``<incarnation of the home>.<era>.<nonce and check digits>``."""
+
+    incarnation: str
+    era: int
+    nonce: str
+
+    def __str__(self) -> str:
+        return f"{self.incarnation}.{self.era}.{self.nonce}"
+
+
+def mint_incarnation() -> str:
+    """Returns a new random incarnation, which no other process ever has."""
+    return secrets.token_hex(INCARNATION_BYTES)
+
+
+def mint_job_id(incarnation: str, era: int) -> JobId:
+    """Returns a new job id for the home with this incarnation and era."""
+    stem = secrets.token_hex(NONCE_BYTES)
+    return JobId(incarnation, era, stem + _check_digits(incarnation, era, stem))
+
+
+def parse_job_id(text: str) -> Result[JobId, DispatchError]:
+    """Parses a job id and verifies its check digits."""
+    refused: Result[JobId, DispatchError] = Err(
+        DispatchError(ErrorKind.NO_SUCH_ID, "no agent minted this job id")
+    )
+    parts = text.split(".")
+    if len(parts) != 3:
+        return refused
+    incarnation, era_text, nonce = parts
+    if len(incarnation) != 2 * INCARNATION_BYTES:
+        return refused
+    if len(nonce) != 2 * NONCE_BYTES + CHECK_DIGITS:
+        return refused
+    if not _is_canonical_number(era_text):
+        return refused
+    era = int(era_text)
+    stem = nonce[:-CHECK_DIGITS]
+    if nonce[-CHECK_DIGITS:] != _check_digits(incarnation, era, stem):
+        return refused
+    return Ok(JobId(incarnation, era, nonce))
+
+
+def _is_canonical_number(text: str) -> bool:
+    if not text.isascii() or not text.isdigit() or len(text) > MAX_ERA_DIGITS:
+        return False
+    return text == str(int(text))
+
+
+def _check_digits(incarnation: str, era: int, stem: str) -> str:
+    checksum = zlib.crc32(f"{incarnation}.{era}.{stem}".encode())
+    return f"{checksum & 0xFFFF:04x}"
--- /dev/null
+++ b/src/jackdawkeel/link/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages between the processes of the dispatcher, over pynng."""
--- /dev/null
+++ b/src/jackdawkeel/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions as plain functions over plain data."""
--- /dev/null
+++ b/src/jackdawkeel/store/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's key-value store: a narrow interface and its adapter."""
--- /dev/null
+++ b/src/jackdawkeel/target/__init__.py
@@ -0,0 +1,1 @@
+"""Calls from an agent to its own target."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; run with ./scripts/test."""
--- /dev/null
+++ b/tests/outcome_recorder.py
@@ -0,0 +1,24 @@
+"""A nose2 plugin that records the id of each test by its outcome."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from nose2.events import Plugin
+
+
+PASSED: list[str] = []
+FAILED: list[str] = []
+
+
+class OutcomeRecorder(Plugin):  # type: ignore[misc]
+    """Records which tests passed and which failed."""
+
+    alwaysOn = True  # noqa: N815
+    configSection = "outcome-recorder"  # noqa: N815
+
+    def testOutcome(self, event: Any) -> None:  # noqa: N802
+        """Records one outcome; each subtest counts towards its test."""
+        names = PASSED if event.outcome == "passed" else FAILED
+        if event.outcome != "skipped":
+            names.append(event.test.id().split(" ")[0])
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the platform, of targets and of the network."""
