--- a/tests/run_suite.py
+++ b/tests/run_suite.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import sys
-
 from pathlib import Path
 
 import nose2
