--- /dev/null
+++ b/src/jackdawkeel/policy/ejection.py
@@ -0,0 +1,184 @@
+"""Ejection of agents whose targets fail nearly everything."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+
+RECENT_TASKS = 20
+MIN_TASKS = 10
+EJECT_FAILURE_RATE = 0.9
+HEALTHY_FAILURE_RATE = 0.5
+MAX_EJECTED_DIVISOR = 3
+PROBE_INTERVAL_S = 1.0
+PROBE_SUCCESSES = 3
+
+
+@dataclass(frozen=True, slots=True)
+class OutcomeCounts:
+    """Tasks that ended well and badly."""
+
+    completed: int = 0
+    failed: int = 0
+
+
+@dataclass(slots=True)
+class AgentOutcomes:
+    """What is known of one agent's tasks.
+
+    Attributes:
+        total: The cumulative counters as last reported.
+        recent: Increments of the counters, the oldest first.
+        ejected: Whether the agent is ejected.
+        probe_successes: Tasks that ended well in a row since the ejection.
+        next_probe_at: When the next probe is due, in seconds.
+    """
+
+    total: OutcomeCounts = OutcomeCounts()
+    recent: deque[OutcomeCounts] = field(default_factory=deque)
+    ejected: bool = False
+    probe_successes: int = 0
+    next_probe_at: float = 0.0
+
+
+@dataclass(slots=True)
+class EjectionState:
+    """The outcomes of all agents, by incarnation."""
+
+    agents: dict[str, AgentOutcomes] = field(default_factory=dict)
+
+
+def record_counters(
+    state: EjectionState, incarnation: str, completed: int, failed: int
+) -> None:
+    """Records the cumulative counters of a heartbeat.
+
+    Counters that are older than the recorded ones, from a late heartbeat, change
+    nothing.
+    """
+    agent = state.agents.setdefault(incarnation, AgentOutcomes())
+    increment = OutcomeCounts(
+        completed - agent.total.completed, failed - agent.total.failed
+    )
+    if increment.completed < 0 or increment.failed < 0:
+        return
+    if increment == OutcomeCounts():
+        return
+    agent.total = OutcomeCounts(completed, failed)
+    agent.recent.append(increment)
+    _drop_old(agent.recent)
+    if agent.ejected:
+        successes = agent.probe_successes + increment.completed
+        agent.probe_successes = 0 if increment.failed else successes
+
+
+def forget_agent(state: EjectionState, incarnation: str) -> None:
+    """Drops an agent that is gone."""
+    state.agents.pop(incarnation, None)
+
+
+def update_ejected(
+    state: EjectionState, services: Mapping[str, Iterable[str]], now: float
+) -> set[str]:
+    """Readmits recovered agents, ejects failing ones and returns all ejected.
+
+    An agent is ejected when it fails nearly everything while the others of each of
+    its services do not. At most a third of a service is ejected, but one agent of
+    two may be, and the last one never is. Where all fail, none is ejected.
+
+    Args:
+        state: The outcomes, changed in place.
+        services: Incarnations of the live agents of each service.
+        now: The time in seconds.
+    """
+    members = {name: set(agents) for name, agents in services.items()}
+    for agent in state.agents.values():
+        if agent.ejected and agent.probe_successes >= PROBE_SUCCESSES:
+            _readmit(agent)
+    failing = [name for name, agent in state.agents.items() if _fails_most(agent)]
+    for incarnation in sorted(failing, key=lambda name: -_recent(state, name).failed):
+        if _may_eject(state, incarnation, members):
+            _eject(state.agents[incarnation], now)
+    return {name for name, agent in state.agents.items() if agent.ejected}
+
+
+def admit_probe(state: EjectionState, incarnation: str, now: float) -> bool:
+    """Returns whether an ejected agent gets a task now, and notes it as a probe."""
+    agent = state.agents.get(incarnation)
+    if agent is None or not agent.ejected or now < agent.next_probe_at:
+        return False
+    agent.next_probe_at = now + PROBE_INTERVAL_S
+    return True
+
+
+def _drop_old(recent: deque[OutcomeCounts]) -> None:
+    tasks = sum(one.completed + one.failed for one in recent)
+    while tasks - recent[0].completed - recent[0].failed >= RECENT_TASKS:
+        oldest = recent.popleft()
+        tasks -= oldest.completed + oldest.failed
+
+
+def _recent(state: EjectionState, incarnation: str) -> OutcomeCounts:
+    agent = state.agents.get(incarnation)
+    if agent is None:
+        return OutcomeCounts()
+    completed = sum(one.completed for one in agent.recent)
+    return OutcomeCounts(completed, sum(one.failed for one in agent.recent))
+
+
+def _failure_rate(counts: OutcomeCounts) -> float:
+    return counts.failed / max(counts.completed + counts.failed, 1)
+
+
+def _fails_most(agent: AgentOutcomes) -> bool:
+    completed = sum(one.completed for one in agent.recent)
+    failed = sum(one.failed for one in agent.recent)
+    if agent.ejected or completed + failed < MIN_TASKS:
+        return False
+    return _failure_rate(OutcomeCounts(completed, failed)) >= EJECT_FAILURE_RATE
+
+
+def _may_eject(
+    state: EjectionState, incarnation: str, members: Mapping[str, set[str]]
+) -> bool:
+    own = [agents for agents in members.values() if incarnation in agents]
+    if not own:
+        return False
+    return all(_service_allows(state, incarnation, agents) for agents in own)
+
+
+def _service_allows(state: EjectionState, incarnation: str, members: set[str]) -> bool:
+    agents = [state.agents.get(name) for name in members]
+    ejected = sum(1 for agent in agents if agent is not None and agent.ejected)
+    allowed = min(max(1, len(members) // MAX_EJECTED_DIVISOR), len(members) - 1)
+    if ejected >= allowed:
+        return False
+    return _others_are_healthy(state, members - {incarnation})
+
+
+def _others_are_healthy(state: EjectionState, others: Iterable[str]) -> bool:
+    counts = [_recent(state, name) for name in others]
+    completed = sum(one.completed for one in counts)
+    failed = sum(one.failed for one in counts)
+    if completed + failed == 0:
+        return False
+    return _failure_rate(OutcomeCounts(completed, failed)) < HEALTHY_FAILURE_RATE
+
+
+def _eject(agent: AgentOutcomes, now: float) -> None:
+    agent.ejected = True
+    agent.probe_successes = 0
+    agent.next_probe_at = now + PROBE_INTERVAL_S
+
+
+def _readmit(agent: AgentOutcomes) -> None:
+    agent.ejected = False
+    agent.recent.clear()
--- /dev/null
+++ b/src/jackdawkeel/policy/placement.py
@@ -0,0 +1,96 @@
+"""Choice of the target of a task and of the home of a job."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from .candidates import Candidate
+from .candidates import accepts_work
+from .candidates import free_slots
+from .candidates import least_loaded_of_few
+from .candidates import may_start
+from .candidates import relative_load
+
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+    from collections.abc import Sequence
+
+
+EXECUTOR_CHOICES = 3
+HOME_CHOICES = 3
+OTHER_ZONE_PENALTY = 0.001
+
+
+def choose_executor(
+    candidates: Sequence[Candidate],
+    own_incarnation: str,
+    own_zone: str,
+    queue_allowance: int,
+    rng: random.Random,
+) -> str | None:
+    """Chooses where a task of a job starts next.
+
+    Free slots come first: of the own target, then of the own availability zone, then
+    of the others. With no free slot, the least loaded with room in its short queue.
+
+    Args:
+        candidates: Agents that run the service, the own one included.
+        own_incarnation: The home's incarnation.
+        own_zone: The home's availability zone.
+        queue_allowance: Tasks that may wait at a target beyond its slots.
+        rng: Decides between candidates.
+
+    Returns:
+        The incarnation of the executing agent, or None when all are full; the task
+        then stays at home until a slot is free.
+    """
+    usable = [one for one in candidates if accepts_work(one)]
+    free = [one for one in usable if free_slots(one) > 0]
+    for tier in _split_by_distance(free, own_incarnation, own_zone):
+        chosen = least_loaded_of_few(tier, EXECUTOR_CHOICES, rng)
+        if chosen is not None:
+            return chosen.incarnation
+    room = [one for one in usable if free_slots(one) + queue_allowance > 0]
+    chosen = least_loaded_of_few(room, EXECUTOR_CHOICES, rng, _rank_from(own_zone))
+    return None if chosen is None else chosen.incarnation
+
+
+def choose_home(
+    candidates: Sequence[Candidate], own_zone: str, rng: random.Random
+) -> str | None:
+    """Chooses the home of new ids or of a request without an id.
+
+    Load comes before the availability zone, which only decides between equals.
+
+    Args:
+        candidates: Agents that run the service.
+        own_zone: The entry's availability zone.
+        rng: Decides between candidates.
+
+    Returns:
+        The incarnation of the home, or None when no agent may start tasks.
+    """
+    allowed = [one for one in candidates if may_start(one)]
+    preferred = [one for one in allowed if accepts_work(one)] or allowed
+    chosen = least_loaded_of_few(preferred, HOME_CHOICES, rng, _rank_from(own_zone))
+    return None if chosen is None else chosen.incarnation
+
+
+def _split_by_distance(
+    candidates: Sequence[Candidate], own_incarnation: str, own_zone: str
+) -> list[list[Candidate]]:
+    own = [one for one in candidates if one.incarnation == own_incarnation]
+    rest = [one for one in candidates if one.incarnation != own_incarnation]
+    near = [one for one in rest if one.availability_zone == own_zone]
+    far = [one for one in rest if one.availability_zone != own_zone]
+    return [own, near, far]
+
+
+def _rank_from(own_zone: str) -> Callable[[Candidate], float]:
+    def rank(candidate: Candidate) -> float:
+        is_far = candidate.availability_zone != own_zone
+        return relative_load(candidate) + (OTHER_ZONE_PENALTY if is_far else 0.0)
+
+    return rank
--- /dev/null
+++ b/tests/policy/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the policy functions."""
+
+from __future__ import annotations
