--- a/src/jackdawkeel/policy/run_time.py
+++ b/src/jackdawkeel/policy/run_time.py
@@ -6,7 +6,8 @@
 
 
 MEAN_WEIGHT = 0.05
-QUANTILE = 0.95
+HIGH_QUANTILE = 0.95
+LOW_QUANTILE = 0.05
 QUANTILE_STEP = 0.05
 FIRST_QUANTILE_STEP = 0.5
 RELIABLE_SAMPLES = 20
@@ -21,27 +22,32 @@
         samples: Tasks seen.
         mean_ms: Moving average in milliseconds, 0 before the first sample.
         high_ms: Estimate of the 95th percentile in milliseconds, 0 likewise.
+        low_ms: Estimate of the 5th percentile in milliseconds, 0 likewise.
     """
 
     samples: int = 0
     mean_ms: float = 0.0
     high_ms: float = 0.0
+    low_ms: float = 0.0
 
 
 def observe_run(run_time: RunTime, elapsed_ms: float) -> RunTime:
     """Returns the estimate after one more finished task.
 
-    The quantile moves by a share of its own value: up by a large step for a sample
-    above it, down by a small one else, so that it settles where a 20th lies above.
+    A quantile moves by a share of its own value. The 95th percentile goes up by a
+    large step for a sample above it and down by a small one else, so that it settles
+    where a 20th of the samples lie above it.
     """
     elapsed_ms = max(elapsed_ms, SHORTEST_RUN_MS)
     samples = run_time.samples + 1
     if samples == 1:
-        return RunTime(samples, elapsed_ms, elapsed_ms)
+        return RunTime(samples, elapsed_ms, elapsed_ms, elapsed_ms)
     weight = max(MEAN_WEIGHT, 1 / samples)
     mean_ms = run_time.mean_ms + weight * (elapsed_ms - run_time.mean_ms)
     step = max(QUANTILE_STEP, FIRST_QUANTILE_STEP / samples)
-    return RunTime(samples, mean_ms, _move_quantile(run_time.high_ms, elapsed_ms, step))
+    high_ms = _move_quantile(run_time.high_ms, elapsed_ms, step, HIGH_QUANTILE)
+    low_ms = _move_quantile(run_time.low_ms, elapsed_ms, step, LOW_QUANTILE)
+    return RunTime(samples, mean_ms, high_ms, low_ms)
 
 
 def is_reliable(run_time: RunTime) -> bool:
@@ -49,7 +55,9 @@
     return run_time.samples >= RELIABLE_SAMPLES
 
 
-def _move_quantile(high_ms: float, elapsed_ms: float, step: float) -> float:
-    if elapsed_ms > high_ms:
-        return high_ms * (1 + step * QUANTILE)
-    return high_ms * (1 - step * (1 - QUANTILE))
+def _move_quantile(
+    value_ms: float, elapsed_ms: float, step: float, quantile: float
+) -> float:
+    if elapsed_ms > value_ms:
+        return value_ms * (1 + step * quantile)
+    return value_ms * (1 - step * (1 - quantile))
--- /dev/null
+++ b/tests/policy/test_hedging.py
@@ -0,0 +1,36 @@
+"""Tests of hedging."""
+
+from __future__ import annotations
+
+import unittest
+
+from jackdawkeel.policy.hedging import hedge_delay_ms
+from jackdawkeel.policy.hedging import take_hedge
+from jackdawkeel.policy.retry_budget import RetryBudget
+from jackdawkeel.policy.run_time import RunTime
+
+
+LEARNED = RunTime(samples=100, mean_ms=200, high_ms=900, low_ms=50)
+
+
+class TakeHedgeTest(unittest.TestCase):
+    def test_table(self) -> None:
+        unreliable = RunTime(samples=3, mean_ms=200, high_ms=900, low_ms=50)
+        cases = [
+            ("straggler", True, 1, 900.0, LEARNED, 1.0, True),
+            ("not idempotent", False, 1, 9000.0, LEARNED, 1.0, False),
+            ("not started", True, 0, 9000.0, LEARNED, 1.0, False),
+            ("hedged before", True, 2, 9000.0, LEARNED, 1.0, False),
+            ("not slow", True, 1, 899.0, LEARNED, 1.0, False),
+            ("nothing learned", True, 1, 9000.0, unreliable, 1.0, False),
+            ("no budget", True, 1, 9000.0, LEARNED, 0.9, False),
+        ]
+        for name, idempotent, attempts, elapsed, learned, balance, expected in cases:
+            with self.subTest(name):
+                budget = RetryBudget(balance=balance)
+                taken = take_hedge(idempotent, attempts, elapsed, learned, budget)
+                self.assertEqual(taken, expected)
+                self.assertEqual(budget.balance, balance - expected)
+
+    def test_delay_has_a_floor(self) -> None:
+        self.assertEqual(hedge_delay_ms(RunTime(100, 1, 1, 1)), 20)
--- /dev/null
+++ b/tests/policy/test_retry_budget.py
@@ -0,0 +1,29 @@
+"""Tests of retry budgets."""
+
+from __future__ import annotations
+
+import unittest
+
+from jackdawkeel.policy.retry_budget import RetryBudget
+from jackdawkeel.policy.retry_budget import note_first_attempt
+from jackdawkeel.policy.retry_budget import take_second_attempt
+
+
+class RetryBudgetTest(unittest.TestCase):
+    def test_second_attempts_are_a_share_of_first_ones(self) -> None:
+        cases = [(0.1, 100, 20), (0.1, 1000, 110), (0.05, 1000, 60), (0.0, 1000, 10)]
+        for ratio, attempts, expected in cases:
+            with self.subTest(ratio=ratio, attempts=attempts):
+                budget = RetryBudget(ratio)
+                taken = 0
+                for _ in range(attempts):
+                    taken += take_second_attempt(budget)
+                    note_first_attempt(budget)
+                self.assertAlmostEqual(taken, expected, delta=1)
+
+    def test_balance_is_bounded(self) -> None:
+        budget = RetryBudget()
+        for _ in range(1000):
+            note_first_attempt(budget)
+        taken = sum(take_second_attempt(budget) for _ in range(50))
+        self.assertEqual(taken, 10)
--- a/tests/policy/test_run_time.py
+++ b/tests/policy/test_run_time.py
@@ -20,13 +20,14 @@
 
 class RunTimeTest(unittest.TestCase):
     def test_first_sample_is_the_estimate(self) -> None:
-        self.assertEqual(observe_run(RunTime(), 70), RunTime(1, 70, 70))
+        self.assertEqual(observe_run(RunTime(), 70), RunTime(1, 70, 70, 70))
 
-    def test_learns_mean_and_high_quantile(self) -> None:
+    def test_learns_mean_and_quantiles(self) -> None:
         rng = random.Random(5)
         run_time = observe_all([rng.uniform(50, 1050) for _ in range(4000)])
         self.assertAlmostEqual(run_time.mean_ms, 550, delta=150)
         self.assertAlmostEqual(run_time.high_ms, 1000, delta=100)
+        self.assertAlmostEqual(run_time.low_ms, 100, delta=40)
 
     def test_follows_a_change_by_orders_of_magnitude(self) -> None:
         slow = observe_all([5000.0] * 500)
