Read settings from flags and environment, and run daemons by command

Cause: the program had no commands and no settings. Every flag can also be a variable JACKDAWKEEL_SOME_NAME, the flag goes first, and all is validated before a daemon module is imported.

--- a/src/jackdawkeel/console/application.py
+++ b/src/jackdawkeel/console/application.py
@@ -2,6 +2,96 @@
 
 from __future__ import annotations
 
+import sys
+from typing import TYPE_CHECKING
+
+import fire
+from fire.core import FireExit
+
+from .arguments import asks_for_help
+from .arguments import quote_arguments
+from .command import Command
+from .command import ExitCode
+from .command import UsageError
+from .commands import agent
+from .commands import entry
+from .help_text import describe_application
+from .help_text import describe_command
+
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+
+COMMANDS: tuple[Command, ...] = (
+    entry.COMMAND,
+    agent.COMMAND,
+)
+
 
 def main() -> None:
-    """Runs the command that the arguments name."""
+    """Runs the command that the arguments name and exits with its code."""
+    sys.exit(run(sys.argv[1:]))
+
+
+def run(words: Sequence[str]) -> int:
+    """Runs the command that the words name.
+
+    Args:
+        words: The arguments without the program's name.
+
+    Returns:
+        The exit code.
+    """
+    try:
+        return _run_words(words)
+    except UsageError as error:
+        print(f"jackdawkeel: {error}", file=sys.stderr)
+        return ExitCode.USAGE
+    except KeyboardInterrupt:
+        return ExitCode.UNKNOWN
+
+
+def _run_words(words: Sequence[str]) -> int:
+    command = _find_command(words)
+    if command is None:
+        return _describe_or_refuse(words)
+    arguments = words[len(command.name.split()) :]
+    if asks_for_help(arguments):
+        print(describe_command(command))
+        return ExitCode.DONE
+    return _run_with_fire(command, quote_arguments(command, arguments))
+
+
+def _find_command(words: Sequence[str]) -> Command | None:
+    for command in COMMANDS:
+        names = command.name.split()
+        if list(words[: len(names)]) == names:
+            return command
+    return None
+
+
+def _describe_or_refuse(words: Sequence[str]) -> int:
+    if asks_for_help(words):
+        print(describe_application(COMMANDS))
+        return ExitCode.DONE
+    if not words:
+        raise UsageError("a command is needed; --help lists them")
+    raise UsageError(f"there is no command {' '.join(words)!a}; --help lists them")
+
+
+def _run_with_fire(command: Command, arguments: list[str]) -> int:
+    component: object = command.run
+    for name in reversed(command.name.split()):
+        component = {name: component}
+    try:
+        code = fire.Fire(
+            component, command=arguments, name="jackdawkeel", serialize=_print_nothing
+        )
+    except FireExit as error:
+        raise UsageError(f"{command.name} can't be called like this") from error
+    return int(code)
+
+
+def _print_nothing(_result: object) -> None:
+    return None
--- /dev/null
+++ b/src/jackdawkeel/console/arguments.py
@@ -0,0 +1,92 @@
+"""Checks the arguments of a command before Fire binds them.
+
+Fire reads values as Python literals, lets an unknown flag pass until the command has
+run, and takes a lone hyphen as a separator. Here every value becomes a quoted
+literal, so that it arrives as the text typed, and a wrong call ends before it starts.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from ..setting_values import show_value
+from .command import Command
+from .command import UsageError
+
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from ..settings import Option
+
+
+HELP_FLAGS = ("--help", "-h")
+STANDARD_INPUT = "-"
+
+
+@dataclass(slots=True)
+class ParsedArguments:
+    """The arguments of one call: positional values, and flags by option name."""
+
+    values: list[str] = field(default_factory=list)
+    flags: dict[str, str] = field(default_factory=dict)
+
+
+def quote_arguments(command: Command, words: Sequence[str]) -> list[str]:
+    """Returns the command's words and arguments in the form that Fire binds.
+
+    Raises:
+        UsageError: If a flag is unknown, repeated or has no value, or if there are
+            too few or too many arguments.
+    """
+    parsed = _parse_words(command, words)
+    _check_count(command, parsed.values)
+    flags = [f"--{name}={value!r}" for name, value in parsed.flags.items()]
+    return [*command.name.split(), *map(repr, parsed.values), *flags]
+
+
+def asks_for_help(words: Sequence[str]) -> bool:
+    """Returns whether a help flag is among the words."""
+    return any(flag in words for flag in HELP_FLAGS)
+
+
+def _parse_words(command: Command, words: Sequence[str]) -> ParsedArguments:
+    parsed = ParsedArguments()
+    remaining = iter(words)
+    for word in remaining:
+        if not word.startswith("-") or word == STANDARD_INPUT:
+            parsed.values.append(word)
+            continue
+        flag, equals, value = word.partition("=")
+        option = _find_option(command, flag)
+        if option.name in parsed.flags:
+            raise UsageError(f"{option.flag} is given twice")
+        if not equals:
+            value = _take_value(option, next(remaining, None))
+        parsed.flags[option.name] = value
+    return parsed
+
+
+def _find_option(command: Command, flag: str) -> Option:
+    for option in command.options:
+        if option.flag == flag:
+            return option
+    raise UsageError(f"{show_value(flag)} is no flag of {command.name}")
+
+
+def _take_value(option: Option, word: str | None) -> str:
+    if word is None or word.startswith("--"):
+        raise UsageError(f"{option.flag} needs a value")
+    return word
+
+
+def _check_count(command: Command, values: list[str]) -> None:
+    wanted = len(command.arguments)
+    if len(values) < wanted:
+        missing = command.arguments[len(values)]
+        raise UsageError(f"{command.name} needs {missing}")
+    if len(values) > wanted and not command.takes_more:
+        extra = show_value(values[wanted])
+        raise UsageError(f"{command.name} takes no argument {extra}")
--- /dev/null
+++ b/src/jackdawkeel/console/commands/agent.py
@@ -0,0 +1,58 @@
+"""The command that runs an agent."""
+
+from __future__ import annotations
+
+import os
+
+from result import Err
+
+from ...settings import AGENT_OPTIONS
+from ...settings import read_agent_settings
+from ..command import Command
+from ..command import UsageError
+
+
+def agent(
+    *,
+    link: str | None = None,
+    advertise: str | None = None,
+    store: str | None = None,
+    availability_zone: str | None = None,
+    rack: str | None = None,
+    target: str | None = None,
+    services: str | None = None,
+    slots: str | None = None,
+    connections: str | None = None,
+) -> int:
+    """Runs an agent until it is told to stop.
+
+    Raises:
+        UsageError: If a setting is missing or bad.
+    """
+    flags = {
+        "link": link,
+        "advertise": advertise,
+        "store": store,
+        "availability_zone": availability_zone,
+        "rack": rack,
+        "target": target,
+        "services": services,
+        "slots": slots,
+        "connections": connections,
+    }
+    settings = read_agent_settings(flags, os.environ)
+    if isinstance(settings, Err):
+        raise UsageError(str(settings.err_value))
+
+    # Agents do not load what only entries need, such as CherryPy.
+    from ...agent.daemon import run_agent  # type: ignore[import-not-found, unused-ignore]
+
+    return int(run_agent(settings.ok_value))
+
+
+COMMAND = Command(
+    name="agent",
+    summary="Runs an agent, which dispatches tasks to the target beside it.",
+    run=agent,
+    options=AGENT_OPTIONS,
+)
--- /dev/null
+++ b/src/jackdawkeel/settings.py
@@ -0,0 +1,260 @@
+"""Settings of the daemons and of the command line, from flags and environment."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import TypeVar
+
+from result import as_result
+
+from .setting_values import Address
+from .setting_values import SettingError
+from .setting_values import parse_address
+from .setting_values import parse_base_url
+from .setting_values import parse_count
+from .setting_values import parse_dialled_address
+from .setting_values import parse_name
+from .setting_values import parse_names
+from .setting_values import parse_url
+
+
+ENVIRONMENT_PREFIX = "JACKDAWKEEL_"
+DEFAULT_THREADS = 256
+MAX_THREADS = 10_000
+DEFAULT_SLOTS = 8
+MAX_SLOTS = 100_000
+DEFAULT_CONNECTIONS = 64
+MAX_CONNECTIONS = 100_000
+DEFAULT_TIMEOUT_MS = 75_000
+MAX_TIMEOUT_MS = 7_200_000
+
+Value = TypeVar("Value")
+Flags = Mapping[str, str | None]
+Environment = Mapping[str, str]
+
+
+@dataclass(frozen=True, slots=True)
+class Option:
+    """A setting as the command line shows it.
+
+    Attributes:
+        name: Its name in the code, such as ``availability_zone``.
+        metavar: What stands for its value in the help text.
+        help: One line on what it means.
+        default: The text that is used if it is not given, or None.
+        is_required: Whether it must be given.
+    """
+
+    name: str
+    metavar: str
+    help: str
+    default: str | None = None
+    is_required: bool = False
+
+    @property
+    def flag(self) -> str:
+        """The flag, such as ``--availability-zone``."""
+        return "--" + self.name.replace("_", "-")
+
+    @property
+    def variable(self) -> str:
+        """The environment variable, such as ``JACKDAWKEEL_AVAILABILITY_ZONE``."""
+        return ENVIRONMENT_PREFIX + self.name.upper()
+
+
+LISTEN = Option("listen", "IP:PORT", "where callers reach it", is_required=True)
+LINK = Option("link", "IP:PORT", "where other processes reach it", is_required=True)
+ADVERTISE = Option(
+    "advertise", "IP:PORT", "link address told to other processes (default: the link)"
+)
+STORE = Option("store", "URL", "the platform's key-value service", is_required=True)
+AVAILABILITY_ZONE = Option(
+    "availability_zone", "NAME", "the availability zone it runs in", is_required=True
+)
+RACK = Option("rack", "NAME", "the rack it is mounted in", is_required=True)
+TARGET = Option("target", "URL", "the target beside it", is_required=True)
+SERVICES = Option("services", "A,B", "services that the target runs", is_required=True)
+SLOTS = Option(
+    "slots", "COUNT", "tasks that the target runs at once", str(DEFAULT_SLOTS)
+)
+CONNECTIONS = Option(
+    "connections", "COUNT", "connections to the target", str(DEFAULT_CONNECTIONS)
+)
+THREADS = Option(
+    "threads", "COUNT", "requests of callers that wait at once", str(DEFAULT_THREADS)
+)
+ENTRY = Option("entry", "URL", "an entry, such as http://IP:PORT", is_required=True)
+TIMEOUT_MS = Option(
+    "timeout_ms", "MS", "longest wait for an answer", str(DEFAULT_TIMEOUT_MS)
+)
+
+ENTRY_OPTIONS = (LISTEN, LINK, ADVERTISE, STORE, AVAILABILITY_ZONE, THREADS)
+AGENT_OPTIONS = (
+    LINK,
+    ADVERTISE,
+    STORE,
+    AVAILABILITY_ZONE,
+    RACK,
+    TARGET,
+    SERVICES,
+    SLOTS,
+    CONNECTIONS,
+)
+CLIENT_OPTIONS = (ENTRY, TIMEOUT_MS)
+
+
+@dataclass(frozen=True, slots=True)
+class EntrySettings:
+    """Settings of an entry.
+
+    Attributes:
+        listen_host: IP number on which callers are served.
+        listen_port: Port on which callers are served.
+        link: Where it listens for other processes, as ``tcp://IP:PORT``.
+        advertise: The link address that other processes are told.
+        store: URL of the platform's key-value service.
+        availability_zone: Where it runs.
+        threads: Requests of callers that are held at once.
+    """
+
+    listen_host: str
+    listen_port: int
+    link: str
+    advertise: str
+    store: str
+    availability_zone: str
+    threads: int = DEFAULT_THREADS
+
+
+@dataclass(frozen=True, slots=True)
+class AgentSettings:
+    """Settings of an agent.
+
+    Attributes:
+        link: Where it listens for other processes, as ``tcp://IP:PORT``.
+        advertise: The link address that other processes are told.
+        store: URL of the platform's key-value service.
+        availability_zone: Where it runs.
+        rack: The rack it is mounted in.
+        target: URL of its target.
+        services: Names of the services that the target runs.
+        slots: Tasks that the target runs at once.
+        connections: Connections that the target accepts.
+    """
+
+    link: str
+    advertise: str
+    store: str
+    availability_zone: str
+    rack: str
+    target: str
+    services: list[str]
+    slots: int = DEFAULT_SLOTS
+    connections: int = DEFAULT_CONNECTIONS
+
+
+@dataclass(frozen=True, slots=True)
+class ClientSettings:
+    """Settings of a command that asks an entry.
+
+    Attributes:
+        entry: URL of the entry, without a path.
+        timeout_ms: Longest wait for an answer, in milliseconds.
+    """
+
+    entry: str
+    timeout_ms: int = DEFAULT_TIMEOUT_MS
+
+
+@as_result(SettingError)
+def read_entry_settings(flags: Flags, environment: Environment) -> EntrySettings:
+    """Reads and validates the settings of an entry; a flag goes first."""
+    listen = _read(LISTEN, parse_address, flags, environment)
+    link, advertise = _read_link(flags, environment)
+    return EntrySettings(
+        listen_host=listen.host,
+        listen_port=listen.port,
+        link=link,
+        advertise=advertise,
+        store=_read(STORE, parse_base_url, flags, environment),
+        availability_zone=_read(AVAILABILITY_ZONE, parse_name, flags, environment),
+        threads=_read(THREADS, _limit_count(MAX_THREADS), flags, environment),
+    )
+
+
+@as_result(SettingError)
+def read_agent_settings(flags: Flags, environment: Environment) -> AgentSettings:
+    """Reads and validates the settings of an agent; a flag goes first."""
+    link, advertise = _read_link(flags, environment)
+    return AgentSettings(
+        link=link,
+        advertise=advertise,
+        store=_read(STORE, parse_base_url, flags, environment),
+        availability_zone=_read(AVAILABILITY_ZONE, parse_name, flags, environment),
+        rack=_read(RACK, parse_name, flags, environment),
+        target=_read(TARGET, parse_url, flags, environment),
+        services=_read(SERVICES, parse_names, flags, environment),
+        slots=_read(SLOTS, _limit_count(MAX_SLOTS), flags, environment),
+        connections=_read(
+            CONNECTIONS, _limit_count(MAX_CONNECTIONS), flags, environment
+        ),
+    )
+
+
+@as_result(SettingError)
+def read_client_settings(flags: Flags, environment: Environment) -> ClientSettings:
+    """Reads and validates the settings of a client command; a flag goes first."""
+    return ClientSettings(
+        entry=_read(ENTRY, parse_base_url, flags, environment),
+        timeout_ms=_read(TIMEOUT_MS, _limit_count(MAX_TIMEOUT_MS), flags, environment),
+    )
+
+
+def read_text(option: Option, flags: Flags, environment: Environment) -> str | None:
+    """Returns the text of a setting: the flag, else the environment, else default.
+
+    A variable that is set to nothing counts as not set.
+    """
+    flag = flags.get(option.name)
+    if flag is not None:
+        return flag
+    return environment.get(option.variable) or option.default
+
+
+def _read(
+    option: Option,
+    parse: Callable[[str], Value],
+    flags: Flags,
+    environment: Environment,
+) -> Value:
+    text = read_text(option, flags, environment)
+    if text is None:
+        raise SettingError(f"{option.flag} is missing (or {option.variable})")
+    try:
+        return parse(text)
+    except SettingError as error:
+        given_by_flag = flags.get(option.name) is not None
+        source = option.flag if given_by_flag else option.variable
+        raise SettingError(f"{source} {error}") from None
+
+
+def _read_link(flags: Flags, environment: Environment) -> tuple[str, str]:
+    link = _read(LINK, parse_address, flags, environment)
+    if read_text(ADVERTISE, flags, environment) is not None:
+        advertise = _read(ADVERTISE, parse_dialled_address, flags, environment)
+        return link.link, advertise.link
+    _require_dialable(link)
+    return link.link, link.link
+
+
+def _require_dialable(link: Address) -> None:
+    if link.is_wildcard:
+        raise SettingError(
+            f"{LINK.flag} names all interfaces, so {ADVERTISE.flag} must be given"
+        )
+
+
+def _limit_count(highest: int) -> Callable[[str], int]:
+    return lambda text: parse_count(text, 1, highest)
--- /dev/null
+++ b/tests/console/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the command line."""
+
+from __future__ import annotations
