Call targets and classify what became of each task

Cause: an agent needs to know whether a task has started before it may go elsewhere, and tests need a target whose own record is the judge.

Change: TargetClient posts a task over a urllib3 pool without retries or redirects. The connection is made first, then the permit is checked, and only then is the task marked as sent: every failure before the mark is not started, every one after it unknown.

--- /dev/null
+++ b/src/jackdawkeel/target/client.py
@@ -0,0 +1,236 @@
+"""Starts tasks on a target over HTTP and classifies what became of them."""
+
+from __future__ import annotations
+
+from contextlib import suppress
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from urllib.parse import quote
+
+import msgspec
+from urllib3 import Timeout
+from urllib3.exceptions import HTTPError
+from urllib3.exceptions import IncompleteRead
+from urllib3.util import parse_url
+
+from ..task_state import TaskState
+from .connection import Attempt
+from .connection import PermitExpiredError
+from .connection import PermittedConnectionPool
+from .connection import current_attempt
+
+
+if TYPE_CHECKING:
+    from types import TracebackType
+
+    from urllib3.response import BaseHTTPResponse
+
+    from ..clock import Clock
+
+
+CONNECT_TIMEOUT_S = 2.0
+POOL_TIMEOUT_S = 1
+MAX_RESULT_BYTES = 4 * 1024 * 1024
+READ_BYTES = 64 * 1024
+DEFAULT_PORT = 80
+NO_CONTENT = 204
+
+
+@dataclass(frozen=True, slots=True)
+class TargetResult:
+    """What became of one task.
+
+    Attributes:
+        state: Any state but running.
+        body: The target's JSON body, byte for byte, if the state is done.
+        reason: One sentence if the state is not done.
+        elapsed_s: Time since the request was sent, in seconds; 0 if it was not.
+    """
+
+    state: TaskState
+    body: bytes
+    reason: str
+    elapsed_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """A state with its body or reason."""
+
+    state: TaskState
+    body: bytes = b""
+    reason: str = ""
+
+
+class ResultTooLargeError(Exception):
+    """The body of a response is larger than ``MAX_RESULT_BYTES``."""
+
+
+class TargetClient:
+    """Calls one target from many threads; no request is ever sent twice.
+
+    Args:
+        url: The target's URL, http only.
+        connections: Most connections that are open at once.
+        clock: Clock of the permits.
+
+    Raises:
+        ValueError: If the URL is not an http URL with a host.
+    """
+
+    def __init__(self, url: str, connections: int, clock: Clock) -> None:
+        parsed = parse_url(url)
+        if parsed.scheme != "http" or not parsed.host:
+            raise ValueError(f"the target must be an http URL with a host: {url}")
+        self.clock = clock
+        self.path = (parsed.path or "").rstrip("/")
+        self.pool = PermittedConnectionPool(
+            parsed.host,
+            parsed.port or DEFAULT_PORT,
+            maxsize=connections,
+            block=True,
+            retries=False,
+        )
+
+    def __enter__(self) -> TargetClient:
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self.pool.close()
+
+    def call(
+        self,
+        job_id: str,
+        index: int,
+        service: str,
+        payload: bytes,
+        permit_expires_at: float,
+        timeout_s: float,
+    ) -> TargetResult:
+        """Starts a task and waits for its end; blocks, so call it from a thread.
+
+        Args:
+            job_id: The job.
+            index: The task's place in the job.
+            service: Name of the service.
+            payload: JSON payload of the task.
+            permit_expires_at: When the permit to start ends, in seconds of the clock.
+            timeout_s: Longest wait for the end, in seconds.
+        """
+        attempt = Attempt(self.clock, permit_expires_at)
+        token = current_attempt.set(attempt)
+        headers = {
+            "Task-Id": f"{job_id}/{index}",
+            "Content-Type": "application/json",
+            "Accept-Encoding": "identity",
+        }
+        path = f"{self.path}/tasks/{quote(service, safe='')}"
+        try:
+            verdict = self._exchange(path, headers, payload, timeout_s)
+        except PermitExpiredError:
+            verdict = Verdict(TaskState.NOT_STARTED, reason="the permit has expired")
+        except (HTTPError, OSError, ValueError) as error:
+            verdict = _classify_error(attempt, error)
+        finally:
+            current_attempt.reset(token)
+        sent_at = attempt.sent_at
+        elapsed_s = 0.0 if sent_at is None else self.clock() - sent_at
+        return TargetResult(verdict.state, verdict.body, verdict.reason, elapsed_s)
+
+    def _exchange(
+        self, path: str, headers: dict[str, str], payload: bytes, timeout_s: float
+    ) -> Verdict:
+        give_up_at = self.clock() + timeout_s
+        response = self.pool.urlopen(
+            "POST",
+            path,
+            body=payload,
+            headers=headers,
+            retries=False,
+            redirect=False,
+            timeout=Timeout(total=timeout_s, connect=min(timeout_s, CONNECT_TIMEOUT_S)),
+            pool_timeout=POOL_TIMEOUT_S,
+            preload_content=False,
+            decode_content=False,
+        )
+        try:
+            return self._classify_response(response, give_up_at)
+        finally:
+            response.release_conn()
+
+    def _classify_response(
+        self, response: BaseHTTPResponse, give_up_at: float
+    ) -> Verdict:
+        if not 200 <= response.status < 300:
+            self._drain(response, give_up_at)
+            reason = f"the target answered with status {response.status}"
+            return Verdict(TaskState.FAILED, reason=reason)
+        try:
+            body = self._read_body(response, give_up_at)
+        except ResultTooLargeError:
+            reason = f"the result is larger than {MAX_RESULT_BYTES} bytes"
+            return Verdict(TaskState.FAILED, reason=reason)
+        return _classify_body(body, is_framed(response))
+
+    def _read_body(self, response: BaseHTTPResponse, give_up_at: float) -> bytes:
+        body = bytearray()
+        try:
+            while chunk := response.read1(READ_BYTES):
+                body += chunk
+                if len(body) > MAX_RESULT_BYTES:
+                    raise ResultTooLargeError
+                if self.clock() > give_up_at:
+                    raise TimeoutError("the response took too long")
+        except BaseException:
+            response.close()
+            raise
+        return bytes(body)
+
+    def _drain(self, response: BaseHTTPResponse, give_up_at: float) -> None:
+        """Reads what is left, so that the connection can be used again."""
+        with suppress(HTTPError, OSError, ResultTooLargeError):
+            self._read_body(response, give_up_at)
+
+
+def is_framed(response: BaseHTTPResponse) -> bool:
+    """Returns whether the end of the body is marked in the stream."""
+    if response.status == NO_CONTENT:
+        return True
+    if response.headers.get("Transfer-Encoding", "").lower() == "chunked":
+        return True
+    return "Content-Length" in response.headers
+
+
+def _classify_body(body: bytes, framed: bool) -> Verdict:
+    """Classifies the body of a 2xx response that was read to its end.
+
+    A framed body came whole, so a bad one is the target's failure. The end of an
+    unframed one may be missing: a bad one is unknown, and so is a bare number, which
+    may have lost digits.
+    """
+    try:
+        value = msgspec.json.decode(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+        if framed:
+            return Verdict(TaskState.FAILED, reason="the result is not valid JSON")
+        return Verdict(TaskState.UNKNOWN, reason="the result may be truncated")
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    if is_number and not framed:
+        return Verdict(TaskState.UNKNOWN, reason="the result may be truncated")
+    return Verdict(TaskState.DONE, body=body)
+
+
+def _classify_error(attempt: Attempt, error: Exception) -> Verdict:
+    """Classifies a failure by whether a byte of the request may have gone out."""
+    if attempt.sent_at is None:
+        reason = f"the target could not be reached: {type(error).__name__}"
+        return Verdict(TaskState.NOT_STARTED, reason=reason)
+    if isinstance(error, IncompleteRead):
+        return Verdict(TaskState.UNKNOWN, reason="the result is truncated")
+    reason = f"the answer of the target is lost: {type(error).__name__}"
+    return Verdict(TaskState.UNKNOWN, reason=reason)
--- /dev/null
+++ b/tests/target/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the calls to targets."""
