Add the store interface, its etcd gateway adapter and a stand-in

Cause: the operators' configuration, the entries' keys and claimed job keys live in the platform's key-value store, which can be down, slow, silent, or lose an answer after the write took effect.

Change: a narrow typed interface whose errors tell a call that had no effect from one that may have had one; an adapter that speaks the published etcd v3 JSON gateway through urllib3 without retries or redirects; watches that resume after the last change, notice compaction, are replaced when silent and close from any thread; a counter of calls. A 503 counts as "no effect" only for messages that etcd sends before it proposes a write. The stand-in serves the same gateway, counts each call, records all writes, and takes its faults from /control.

--- /dev/null
+++ b/tests/standins/store.py
@@ -0,0 +1,260 @@
+"""Stand-in of the platform's store: the etcd v3 JSON gateway, with faults.
+
+Run it with ``python -m tests.standins.store --listen 127.0.0.1:PORT``. POST
+``/control`` sets the fields of ``Faults``, silences the present watches
+(``{"silence_watches": true}``) or compacts (``{"compact": REVISION}``, 0 for the
+current one); GET ``/control/record`` returns the counted calls and all writes.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import select
+import threading
+import time
+from collections import Counter
+from dataclasses import dataclass
+from http.server import BaseHTTPRequestHandler
+from http.server import ThreadingHTTPServer
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import Self
+
+from .store_calls import UNARY_CALLS
+from .store_calls import Body
+from .store_calls import decode
+from .store_calls import encode_changes
+from .store_calls import encode_result
+from .store_calls import encode_write
+from .store_data import StoreData
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from types import TracebackType
+
+
+TICK_S = 0.05
+CALL_KINDS = {
+    "/v3/kv/range": "range",
+    "/v3/kv/txn": "txn",
+    "/v3/kv/put": "put",
+    "/v3/lease/grant": "lease_grant",
+    "/v3/lease/keepalive": "lease_keepalive",
+    "/v3/watch": "watch",
+}
+
+
+@dataclass(slots=True)
+class Faults:
+    """What is wrong with the store at the moment.
+
+    Attributes:
+        down: Empty, ``refuse`` to answer 503 or ``drop`` to close connections.
+        delay_ms: Delay before each call is handled, in milliseconds.
+        lose_answers: The next so many transactions take effect without an answer.
+        refusal: Message of the answers 503.
+    """
+
+    down: str = ""
+    delay_ms: int = 0
+    lose_answers: int = 0
+    refusal: str = "etcdserver: no leader"
+
+
+class StoreStandin:
+    """Serves the gateway on loopback; port 0 takes any free port."""
+
+    def __init__(self, host: str = "127.0.0.1", port: int = 0) -> None:
+        self.data = StoreData()
+        self.faults = Faults()
+        self.calls: Counter[str] = Counter()
+        self.watch_generation = 0
+        self.stopped = threading.Event()
+        self.server = _Server((host, port), self)
+        self.port: int = self.server.server_address[1]
+        self.url = f"http://{host}:{self.port}"
+        self.threads = [
+            threading.Thread(target=self.server.serve_forever, args=(TICK_S,)),
+            threading.Thread(target=self._expire_leases),
+        ]
+
+    def __enter__(self) -> Self:
+        for thread in self.threads:
+            thread.start()
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self.stopped.set()
+        self.server.shutdown()
+        for thread in self.threads:
+            thread.join()
+        self.server.server_close()
+
+    def control(self, command: Body) -> None:
+        """Carries out the body of a POST to ``/control``."""
+        with self.data.changed:
+            for name in ("down", "delay_ms", "lose_answers", "refusal"):
+                if name in command:
+                    setattr(self.faults, name, command[name])
+            if command.get("silence_watches"):
+                self.watch_generation += 1
+            if "compact" in command:
+                self.data.compact(command["compact"] or self.data.revision)
+            self.data.changed.notify_all()
+
+    def record(self) -> Body:
+        """Returns the calls by kind and all writes in order."""
+        with self.data.changed:
+            calls = {kind: self.calls[kind] for kind in CALL_KINDS.values()}
+            return {
+                "revision": self.data.revision,
+                "calls": calls,
+                "writes": [encode_write(item) for item in self.data.history],
+            }
+
+    def take_lost_answer(self) -> bool:
+        """Tells whether the answer to this transaction is lost."""
+        with self.data.changed:
+            lost = self.faults.lose_answers > 0
+            self.faults.lose_answers -= lost
+            return lost
+
+    def _expire_leases(self) -> None:
+        while not self.stopped.wait(TICK_S):
+            with self.data.changed:
+                self.data.expire_leases()
+
+
+class _Server(ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 128
+
+    def __init__(self, address: tuple[str, int], standin: StoreStandin) -> None:
+        self.standin = standin
+        super().__init__(address, _Handler)
+
+    def handle_error(self, request: Any, client_address: Any) -> None:
+        """Stays quiet when a client goes away."""
+
+
+class _Handler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+    wbufsize = -1
+    server: _Server
+
+    def do_GET(self) -> None:
+        if self.path == "/control/record":
+            self._reply(200, self.server.standin.record())
+        else:
+            self._reply(404, {"message": "Not Found"})
+
+    def do_POST(self) -> None:
+        standin = self.server.standin
+        body = json.loads(self.rfile.read(int(self.headers.get("Content-Length", 0))))
+        if self.path == "/control":
+            standin.control(body)
+            self._reply(200, {})
+        elif self.path not in CALL_KINDS:
+            self._reply(404, {"message": "Not Found"})
+        elif not self._suffer(standin):
+            self._handle(standin, body)
+
+    def log_message(self, format: str, *args: Any) -> None:  # noqa: A002
+        """Keeps the output free of a line per request."""
+
+    def _suffer(self, standin: StoreStandin) -> bool:
+        with standin.data.changed:
+            standin.calls[CALL_KINDS[self.path]] += 1
+        if standin.faults.delay_ms:
+            time.sleep(standin.faults.delay_ms / 1000)
+        if standin.faults.down == "drop":
+            self.close_connection = True
+            return True
+        if standin.faults.down:
+            self._reply(503, {"code": 14, "message": standin.faults.refusal})
+            return True
+        return False
+
+    def _handle(self, standin: StoreStandin, body: Body) -> None:
+        if self.path == "/v3/watch":
+            self._stream(standin, body["create_request"])
+            return
+        with standin.data.changed:
+            status, answer = UNARY_CALLS[self.path](standin.data, body)
+        if self.path == "/v3/kv/txn" and standin.take_lost_answer():
+            self.close_connection = True
+            return
+        self._reply(status, answer)
+
+    def _reply(self, status: int, answer: Body) -> None:
+        body = json.dumps(answer).encode()
+        self.send_response(status)
+        self.send_header("Content-Type", "application/json")
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+        self.wfile.flush()
+
+    def _stream(self, standin: StoreStandin, create: Body) -> None:
+        self.close_connection = True
+        self.send_response(200)
+        self.send_header("Content-Type", "application/json")
+        self.send_header("Transfer-Encoding", "chunked")
+        self.end_headers()
+        for result in self._read_watch(standin, create):
+            line = json.dumps({"result": result}).encode() + b"\n"
+            self.wfile.write(b"%x\r\n%s\r\n" % (len(line), line))
+            self.wfile.flush()
+        self.wfile.write(b"0\r\n\r\n")
+
+    def _read_watch(self, standin: StoreStandin, create: Body) -> Iterator[Body]:
+        data = standin.data
+        key, end = decode(create["key"]), decode(create.get("range_end", ""))
+        generation = standin.watch_generation
+        with data.changed:
+            position = int(create.get("start_revision", 0)) or data.revision + 1
+            created = encode_result(data, created=True)
+        yield created
+        while not self._is_over(standin):
+            if generation != standin.watch_generation:
+                standin.stopped.wait(TICK_S)
+                continue
+            result = None
+            with data.changed:
+                if position > data.revision:
+                    data.changed.wait(TICK_S)
+                else:
+                    result = encode_changes(data, key, end, position)
+                    position = data.revision + 1
+            if result:
+                yield result
+            if result and "canceled" in result:
+                return
+
+    def _is_over(self, standin: StoreStandin) -> bool:
+        if standin.stopped.is_set() or standin.faults.down:
+            return True
+        readable, _, _ = select.select([self.connection], [], [], 0)
+        return bool(readable)
+
+
+def main() -> None:
+    """Serves until it is interrupted."""
+    parser = argparse.ArgumentParser(description="stand-in of the platform's store")
+    parser.add_argument("--listen", default="127.0.0.1:0")
+    host, _, port = parser.parse_args().listen.rpartition(":")
+    with StoreStandin(host, int(port)) as standin:
+        print(f"listening on {standin.url}", flush=True)
+        threading.Event().wait()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/store/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the store interface and its adapter."""
--- /dev/null
+++ b/tests/store/test_etcd.py
@@ -0,0 +1,233 @@
+"""Contract tests of the store adapter's calls against the stand-in."""
+
+from __future__ import annotations
+
+import socket
+import time
+import unittest
+from typing import TYPE_CHECKING
+from typing import Any
+
+from jackdawkeel.store.call_counter import CallKind
+from jackdawkeel.store.etcd import EtcdStore
+from jackdawkeel.store.etcd import parse_store_url
+from jackdawkeel.store.etcd_wire import prefix_end
+from jackdawkeel.store.interface import StoreErrorKind
+from tests.standins.store import StoreStandin
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+KEY = b"/test/key"
+SHORT_TIMEOUT_S = 0.2
+WAIT_S = 10.0
+
+
+class StoreTestCase(unittest.TestCase):
+    """A stand-in and an adapter for each test."""
+
+    def setUp(self) -> None:
+        self.standin = self.enterContext(StoreStandin())
+        self.store = self.enterContext(EtcdStore(self.standin.url))
+
+    def wait_for(self, condition: Callable[[], bool]) -> None:
+        limit = time.monotonic() + WAIT_S
+        while not condition():
+            self.assertLess(time.monotonic(), limit, "the condition never held")
+            time.sleep(0.01)
+
+    def swap(self, expected: int, value: bytes, key: bytes = KEY) -> int:
+        swapped = self.store.compare_and_swap(key, expected, value).unwrap()
+        self.assertTrue(swapped.succeeded)
+        return swapped.revision
+
+
+class KeyTest(StoreTestCase):
+    """Reads and compare-and-swap."""
+
+    def test_missing_key(self) -> None:
+        reading = self.store.get(KEY).unwrap()
+        self.assertIsNone(reading.item)
+        self.assertGreater(reading.revision, 0)
+
+    def test_swap_table(self) -> None:
+        first = self.swap(0, b"one")
+        cases = [("exists", 0), ("older", first - 1), ("newer", first + 1)]
+        for name, expected in cases:
+            with self.subTest(name):
+                swapped = self.store.compare_and_swap(KEY, expected, b"no").unwrap()
+                self.assertFalse(swapped.succeeded)
+                assert swapped.current is not None
+                self.assertEqual(swapped.current.value, b"one")
+                self.assertEqual(swapped.current.mod_revision, first)
+        second = self.swap(first, b"two")
+        reading = self.store.get(KEY).unwrap()
+        assert reading.item is not None
+        self.assertEqual(
+            (reading.item.value, reading.item.mod_revision), (b"two", second)
+        )
+        self.assertEqual(reading.revision, second)
+
+    def test_swap_of_a_missing_key_with_a_revision(self) -> None:
+        swapped = self.store.compare_and_swap(KEY, 5, b"no").unwrap()
+        self.assertFalse(swapped.succeeded)
+        self.assertIsNone(swapped.current)
+
+    def test_any_bytes_come_back(self) -> None:
+        value = bytes(range(256))
+        self.swap(0, value, key=value)
+        item = self.store.get(value).unwrap().item
+        assert item is not None
+        self.assertEqual((item.key, item.value), (value, value))
+
+    def test_prefix_holds_just_its_keys(self) -> None:
+        for key in (b"a/", b"a/1", b"a/\xff", b"a0", b"a", b"b"):
+            self.swap(0, key, key=key)
+        reading = self.store.get_prefix(b"a/").unwrap()
+        self.assertEqual(
+            [item.key for item in reading.items], [b"a/", b"a/1", b"a/\xff"]
+        )
+        self.assertEqual(reading.revision, self.standin.data.revision)
+
+    def test_prefix_end_table(self) -> None:
+        cases = [(b"a", b"b"), (b"a\xff", b"b"), (b"\xff", b"\x00"), (b"a/", b"a0")]
+        for prefix, end in cases:
+            with self.subTest(prefix):
+                self.assertEqual(prefix_end(prefix), end)
+
+    def test_url_table(self) -> None:
+        self.assertEqual(parse_store_url("http://127.0.0.1:2379/"), ("127.0.0.1", 2379))
+        for url in ("", "127.0.0.1:2379", "https://a:1", "http://a:1/v3", "ftp://a"):
+            with self.subTest(url), self.assertRaises(ValueError):
+                parse_store_url(url)
+
+
+class LeaseTest(StoreTestCase):
+    """Leases on the real clock of the stand-in."""
+
+    def test_key_goes_with_its_lease(self) -> None:
+        lease_id = self.store.grant_lease(1).unwrap()
+        self.store.compare_and_swap(KEY, 0, b"here", lease_id).unwrap()
+        self.assertIsNotNone(self.store.get(KEY).unwrap().item)
+        self.wait_for(lambda: self.store.get(KEY).unwrap().item is None)
+        error = self.store.keep_alive(lease_id).unwrap_err()
+        self.assertEqual(error.kind, StoreErrorKind.LEASE_NOT_FOUND)
+
+    def test_kept_lease_keeps_its_key(self) -> None:
+        kept = self.store.grant_lease(2).unwrap()
+        lapsing = self.store.grant_lease(2).unwrap()
+        self.store.compare_and_swap(KEY, 0, b"kept", kept).unwrap()
+        self.store.compare_and_swap(b"other", 0, b"lapsing", lapsing).unwrap()
+
+        def is_other_gone() -> bool:
+            self.assertEqual(self.store.keep_alive(kept).unwrap(), 2)
+            return self.store.get(b"other").unwrap().item is None
+
+        self.wait_for(is_other_gone)
+        self.assertIsNotNone(self.store.get(KEY).unwrap().item)
+
+    def test_write_under_an_unknown_lease_is_refused(self) -> None:
+        error = self.store.compare_and_swap(KEY, 0, b"no", 4711).unwrap_err()
+        self.assertEqual(error.kind, StoreErrorKind.LEASE_NOT_FOUND)
+        self.assertIsNone(self.store.get(KEY).unwrap().item)
+
+
+class FaultTest(StoreTestCase):
+    """What a failed call says about its effect."""
+
+    def test_fault_table(self) -> None:
+        unavailable = StoreErrorKind.UNAVAILABLE
+        unknown = StoreErrorKind.OUTCOME_UNKNOWN
+        timed_out = {"down": "refuse", "refusal": "etcdserver: request timed out"}
+        cases: list[tuple[str, dict[str, Any], StoreErrorKind | None, StoreErrorKind]]
+        cases = [
+            ("refused before the write", {"down": "refuse"}, unavailable, unavailable),
+            ("timed out inside", timed_out, unavailable, unknown),
+            (
+                "503 of a proxy",
+                {"down": "refuse", "refusal": "?"},
+                unavailable,
+                unknown,
+            ),
+            ("connection dropped", {"down": "drop"}, unavailable, unknown),
+            ("answer lost", {"lose_answers": 1}, None, unknown),
+            ("slower than the timeout", {"delay_ms": 600}, unavailable, unknown),
+        ]
+        healthy = {
+            "down": "",
+            "delay_ms": 0,
+            "lose_answers": 0,
+            "refusal": "etcdserver: no leader",
+        }
+        store = self.enterContext(
+            EtcdStore(self.standin.url, read_timeout_s=SHORT_TIMEOUT_S)
+        )
+        for name, faults, read_kind, write_kind in cases:
+            with self.subTest(name):
+                self.standin.control(faults)
+                read = store.get(KEY)
+                write = store.compare_and_swap(KEY, 0, b"value")
+                self.standin.control(healthy)
+                self.assertEqual(read.err() and read.unwrap_err().kind, read_kind)
+                self.assertEqual(write.unwrap_err().kind, write_kind)
+                self.assertTrue(store.get(KEY).is_ok(), "heals at once")
+
+    def test_lost_answer_took_effect(self) -> None:
+        self.standin.control({"lose_answers": 1})
+        self.store.compare_and_swap(KEY, 0, b"value").unwrap_err()
+        item = self.store.get(KEY).unwrap().item
+        assert item is not None
+        self.assertEqual(item.value, b"value")
+
+    def test_refused_write_had_no_effect(self) -> None:
+        self.standin.control({"down": "refuse"})
+        self.store.compare_and_swap(KEY, 0, b"value").unwrap_err()
+        self.assertEqual(self.standin.record()["writes"], [])
+
+    def test_nobody_listens(self) -> None:
+        with socket.socket() as unused:
+            unused.bind(("127.0.0.1", 0))
+            url = f"http://127.0.0.1:{unused.getsockname()[1]}"
+            store = self.enterContext(EtcdStore(url))
+            for answer in (store.get(KEY), store.compare_and_swap(KEY, 0, b"")):
+                self.assertEqual(answer.unwrap_err().kind, StoreErrorKind.UNAVAILABLE)
+
+    def test_silent_store(self) -> None:
+        with socket.create_server(("127.0.0.1", 0)) as silent:
+            url = f"http://127.0.0.1:{silent.getsockname()[1]}"
+            store = self.enterContext(EtcdStore(url, read_timeout_s=SHORT_TIMEOUT_S))
+            kinds = [
+                store.get(KEY).unwrap_err().kind,
+                store.compare_and_swap(KEY, 0, b"").unwrap_err().kind,
+            ]
+        unavailable = StoreErrorKind.UNAVAILABLE
+        self.assertEqual(kinds, [unavailable, StoreErrorKind.OUTCOME_UNKNOWN])
+
+    def test_too_large_a_value_is_refused(self) -> None:
+        large = bytes(1024 * 1024 + 1)
+        error = self.store.compare_and_swap(KEY, 0, large).unwrap_err()
+        self.assertEqual(error.kind, StoreErrorKind.UNAVAILABLE)
+
+
+class CountTest(StoreTestCase):
+    """Both sides count each call."""
+
+    def test_each_call_is_counted(self) -> None:
+        self.store.get(KEY)
+        self.store.get_prefix(KEY)
+        self.store.compare_and_swap(KEY, 0, b"")
+        self.store.keep_alive(self.store.grant_lease(10).unwrap())
+        self.standin.control({"down": "drop"})
+        self.store.get(KEY)
+        expected = {
+            CallKind.RANGE: 3,
+            CallKind.TXN: 1,
+            CallKind.LEASE_GRANT: 1,
+            CallKind.LEASE_KEEPALIVE: 1,
+            CallKind.WATCH: 0,
+        }
+        self.assertEqual(self.store.calls.read(), expected)
+        counted = self.standin.record()["calls"]
+        self.assertEqual({kind: counted[kind] for kind in CallKind}, expected)
