--- /dev/null
+++ b/src/jackdawkeel/events.py
@@ -0,0 +1,46 @@
+"""The closed list of events that processes log."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+
+class EventName(StrEnum):
+    """Every kind of event; its value stands in the log line."""
+
+    PROCESS_STARTED = "process_started"
+    READY = "ready"
+    DRAINING = "draining"
+    PROCESS_STOPPED = "process_stopped"
+    INTERNAL_ERROR = "internal_error"
+    EVENTS_DROPPED = "events_dropped"
+
+    LINK_REDIALED = "link_redialed"
+    MESSAGE_DROPPED = "message_dropped"
+
+    JOB_FORWARDED = "job_forwarded"
+    JOB_ADMITTED = "job_admitted"
+    JOB_REFUSED = "job_refused"
+    JOB_CANCELLED = "job_cancelled"
+    JOB_ENDED = "job_ended"
+    TASK_DISPATCHED = "task_dispatched"
+    TASK_STARTED = "task_started"
+    TASK_ENDED = "task_ended"
+    TASK_RETRIED = "task_retried"
+
+    TICKET_ACCEPTED = "ticket_accepted"
+    TICKET_REFUSED = "ticket_refused"
+    CONFIGURATION_APPLIED = "configuration_applied"
+    LEASE_RENEWED = "lease_renewed"
+    LEASE_LOST = "lease_lost"
+
+    AGENT_HEARD = "agent_heard"
+    AGENT_SILENT = "agent_silent"
+    AGENT_LEAVING = "agent_leaving"
+    ENTRY_HEARD = "entry_heard"
+    ENTRY_SILENT = "entry_silent"
+    TARGET_EJECTED = "target_ejected"
+    TARGET_READMITTED = "target_readmitted"
+
+    STORE_REACHED = "store_reached"
+    STORE_UNREACHABLE = "store_unreachable"
--- a/tests/console/test_application.py
+++ b/tests/console/test_application.py
@@ -6,6 +6,7 @@
 import inspect
 import io
 import os
+import subprocess
 import sys
 import types
 import unittest
@@ -194,6 +195,22 @@
         self.assertEqual(self.recorder.values, [])
 
 
+class ImportTest(unittest.TestCase):
+    """An agent, whose worker has little memory, loads only what it needs."""
+
+    def test_command_line_loads_no_server(self) -> None:
+        script = (
+            "import sys\n"
+            "from jackdawkeel.console import application\n"
+            "print([name for name in sys.modules if name in "
+            "('cherrypy', 'cheroot', 'IPython', 'numpy')])"
+        )
+        done = subprocess.run(
+            [sys.executable, "-c", script], capture_output=True, text=True, check=True
+        )
+        self.assertEqual(done.stdout.strip(), "[]")
+
+
 class DaemonCommandTest(unittest.TestCase):
     """The daemons get their settings and give the exit code."""
 
