--- /dev/null
+++ b/tests/standins/fleet.py
@@ -0,0 +1,295 @@
+"""A fleet of real processes: store, targets, agents and entries."""
+
+from __future__ import annotations
+
+import sys
+import tempfile
+from collections import Counter
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import ExitStack
+from dataclasses import dataclass
+from pathlib import Path
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import Self
+
+import urllib3
+from urllib3.exceptions import HTTPError
+
+from tests.standins.caller import Caller
+from tests.standins.processes import ManagedProcess
+from tests.standins.processes import pick_address
+from tests.standins.processes import wait_until
+from tests.standins.proxy import FaultProxy
+from tests.standins.target import TaskStart
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+SERVICE = "nightly-counts"
+FIRST_TICKET = 1
+FIRST_ENTRY_HOST = 2
+FIRST_AGENT_HOST = 11
+STAND_IN_HOST = "127.0.0.1"
+AGENTS_PER_RACK = 3
+REQUEST_TIMEOUT_S = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """A target stand-in in a process of its own."""
+
+    process: ManagedProcess
+    url: str
+
+
+@dataclass(frozen=True, slots=True)
+class AgentProcess:
+    """An agent and its target.
+
+    Attributes:
+        process: The agent.
+        host: IP number of its link.
+        advertised: Link address that peers dial.
+        availability_zone: Where it runs.
+        target: Its target.
+        proxy: The proxy before its link, if the fleet is proxied.
+    """
+
+    process: ManagedProcess
+    host: str
+    advertised: str
+    availability_zone: str
+    target: Target
+    proxy: FaultProxy | None
+
+
+@dataclass(frozen=True, slots=True)
+class EntryProcess:
+    """An entry.
+
+    Attributes:
+        process: The entry.
+        host: IP number of its link.
+        caller: Calls it over HTTP.
+        proxy: The proxy before its link, if the fleet is proxied.
+    """
+
+    process: ManagedProcess
+    host: str
+    caller: Caller
+    proxy: FaultProxy | None
+
+
+class Fleet:
+    """Runs a fleet until the context ends; all links stand behind proxies if asked.
+
+    Args:
+        zones: Number of availability zones, named ``west-1`` and on.
+        agents_per_zone: Agents in each.
+        entries: Number of entries.
+        slots: Slots of each target.
+        proxied: Whether peers dial each link through a proxy.
+    """
+
+    def __init__(
+        self,
+        zones: int = 3,
+        agents_per_zone: int = 1,
+        entries: int = 2,
+        slots: int = 8,
+        proxied: bool = False,
+    ) -> None:
+        self.zones = [f"west-{number + 1}" for number in range(zones)]
+        self.agents_per_zone = agents_per_zone
+        self.entry_count = entries
+        self.slots = slots
+        self.proxied = proxied
+        self.agents: list[AgentProcess] = []
+        self.entries: list[EntryProcess] = []
+        self.processes: list[ManagedProcess] = []
+        self.http = urllib3.PoolManager(retries=False, timeout=REQUEST_TIMEOUT_S)
+        self.stack = ExitStack()
+
+    def __enter__(self) -> Self:
+        with ExitStack() as stack:
+            directory = tempfile.TemporaryDirectory(prefix="jackdawkeel-")
+            self.folder = Path(stack.enter_context(directory))
+            self.stack = stack
+            self._start_store()
+            self._start_agents()
+            self._start_entries()
+            try:
+                self._wait_until_ready()
+            except BaseException:
+                self.print_tails()
+                raise
+            self.stack = stack.pop_all()
+        return self
+
+    def __exit__(self, exc_type: type[BaseException] | None, *_: object) -> None:
+        if exc_type is not None:
+            self.print_tails()
+        self.stack.close()
+
+    def _run(self, name: str, *arguments: str) -> ManagedProcess:
+        process = ManagedProcess(name, list(arguments), self.folder)
+        self.stack.enter_context(process)
+        self.processes.append(process)
+        return process
+
+    def _start_store(self) -> None:
+        address = pick_address(STAND_IN_HOST)
+        self.store_url = f"http://{address}"
+        module = "tests.standins.store"
+        self.store = self._run("store", module, "--listen", address)
+        wait_until(
+            lambda: self.answers(f"{self.store_url}/control/record"), "the store"
+        )
+
+    def _start_agents(self) -> None:
+        for zone in self.zones:
+            for _ in range(self.agents_per_zone):
+                self.agents.append(self._start_agent(zone))
+
+    def _start_agent(self, zone: str) -> AgentProcess:
+        number = len(self.agents)
+        target = self._start_target(number)
+        host = f"127.0.0.{FIRST_AGENT_HOST + number}"
+        link = pick_address(host)
+        proxy, advertised = self._open_proxy(host, link)
+        process = self._run(
+            f"agent-{number + 1}",
+            *("jackdawkeel", "agent", "--link", link, "--advertise", advertised),
+            *("--store", self.store_url, "--availability-zone", zone),
+            *("--rack", f"rack-{number // AGENTS_PER_RACK + 1}"),
+            *("--target", target.url, "--services", SERVICE),
+            *("--slots", str(self.slots)),
+        )
+        return AgentProcess(process, host, advertised, zone, target, proxy)
+
+    def _start_target(self, number: int) -> Target:
+        address = pick_address(STAND_IN_HOST)
+        process = self._run(
+            f"target-{number + 1}",
+            *("tests.standins.target", "--listen", address, "--seed", str(number)),
+        )
+        url = f"http://{address}"
+        wait_until(lambda: self.answers(f"{url}/record"), "a target")
+        return Target(process, url)
+
+    def _start_entries(self) -> None:
+        for number in range(self.entry_count):
+            host = f"127.0.0.{FIRST_ENTRY_HOST + number}"
+            listen = pick_address(host)
+            link = pick_address(host)
+            proxy, advertised = self._open_proxy(host, link)
+            process = self._run(
+                f"entry-{number + 1}",
+                *("jackdawkeel", "entry", "--listen", listen, "--link", link),
+                *("--advertise", advertised, "--store", self.store_url),
+                *("--availability-zone", self.zones[number % len(self.zones)]),
+            )
+            caller = Caller(f"http://{listen}")
+            self.entries.append(EntryProcess(process, host, caller, proxy))
+
+    def _open_proxy(self, host: str, link: str) -> tuple[FaultProxy | None, str]:
+        if not self.proxied:
+            return None, link
+        proxy = self.stack.enter_context(FaultProxy(pick_address(host), link))
+        return proxy, proxy.address
+
+    def _wait_until_ready(self) -> None:
+        self.wait_until(self.is_healthy, "every entry to be healthy")
+        ticket: dict[str, Any] = {"services": {SERVICE: {}}}
+        reply = self.entries[0].caller.submit_ticket(FIRST_TICKET, ticket)
+        if reply.status != 200:
+            raise AssertionError(f"the first ticket was refused: {reply}")
+        self.wait_until(self.is_whole, "every entry to hear every agent")
+
+    def is_healthy(self) -> bool:
+        """Whether every entry answers 200 on its health page."""
+        return all(
+            self.answers(f"{entry.caller.url}/healthz") for entry in self.entries
+        )
+
+    def is_whole(self) -> bool:
+        """Whether every entry lists every agent and hands out ids."""
+        for entry in self.entries:
+            status = str(entry.caller.get_status().body)
+            if not all(agent.advertised in status for agent in self.agents):
+                return False
+            ids = {"service": SERVICE, "count": 1}
+            if entry.caller.request("POST", "/v1/ids", ids).status != 200:
+                return False
+        return True
+
+    def wait_until(
+        self, condition: Callable[[], bool], what: str, timeout_s: float = 20.0
+    ) -> None:
+        """Waits until a condition holds.
+
+        Raises:
+            AssertionError: If a process of the fleet ended by itself with an error.
+            TimeoutError: If it does not hold in time.
+        """
+        wait_until(lambda: self._holds(condition), what, timeout_s)
+
+    def _holds(self, condition: Callable[[], bool]) -> bool:
+        for process in self.processes:
+            if (process.process.poll() or 0) > 0:
+                raise AssertionError(f"{process.name} ended with an error")
+        try:
+            return condition()
+        except HTTPError:
+            return False
+
+    def answers(self, url: str) -> bool:
+        """Whether a URL answers 200."""
+        try:
+            return self.http.request("GET", url).status == 200
+        except HTTPError:
+            return False
+
+    def control(self, url: str, **fields: Any) -> Any:
+        """Changes how a stand-in behaves."""
+        return self.http.request("POST", f"{url}/control", json=fields).json()
+
+    def read_target_record(self, agent: AgentProcess) -> Any:
+        """Returns the record of an agent's target."""
+        return self.http.request("GET", f"{agent.target.url}/record").json()
+
+    def starts(self) -> list[TaskStart]:
+        """Returns the starts that all targets recorded, in order of time."""
+        starts = []
+        for agent in self.agents:
+            record = self.read_target_record(agent)
+            starts += [TaskStart(**start) for start in record["starts"]]
+        return sorted(starts, key=lambda start: start.at)
+
+    def count_starts(self) -> Counter[str]:
+        """Returns how often each task started, by ``Task-Id``."""
+        return Counter(start.task_id for start in self.starts())
+
+    def read_store_record(self) -> Any:
+        """Returns the record of the store stand-in."""
+        url = f"{self.store_url}/control/record"
+        return self.http.request("GET", url).json()
+
+    def product_processes(self) -> list[ManagedProcess]:
+        """Returns the entries and the agents."""
+        entries = [entry.process for entry in self.entries]
+        return [*entries, *(agent.process for agent in self.agents)]
+
+    def print_tails(self) -> None:
+        """Prints the last lines of each log of the product to standard error."""
+        for process in self.product_processes():
+            print(process.tail(), file=sys.stderr)
+
+
+def run_together(calls: list[Callable[[], Any]]) -> list[Any]:
+    """Runs calls at the same time and returns their results in order."""
+    with ThreadPoolExecutor(len(calls)) as threads:
+        return [future.result() for future in [threads.submit(c) for c in calls]]
--- /dev/null
+++ b/tests/standins/processes.py
@@ -0,0 +1,128 @@
+"""Starts real processes on loopback addresses and signals them by pid."""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING
+from typing import Self
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+REPOSITORY = Path(__file__).resolve().parent.parent.parent
+POLL_S = 0.01
+DEFAULT_WAIT_S = 20.0
+LOG_TAIL_LINES = 20
+
+
+def pick_address(host: str) -> str:
+    """Returns an address with a port that is free now."""
+    with socket.socket() as probe:
+        probe.bind((host, 0))
+        return f"{host}:{probe.getsockname()[1]}"
+
+
+def wait_until(
+    condition: Callable[[], bool], what: str, timeout_s: float = DEFAULT_WAIT_S
+) -> None:
+    """Waits until a condition holds.
+
+    Raises:
+        TimeoutError: If it does not hold in time.
+    """
+    give_up_at = time.monotonic() + timeout_s
+    while not condition():
+        if time.monotonic() > give_up_at:
+            raise TimeoutError(f"waited {timeout_s} s for {what}")
+        time.sleep(POLL_S)
+
+
+def clean_environment() -> dict[str, str]:
+    """Returns the environment without settings of the product."""
+    return {
+        name: value
+        for name, value in os.environ.items()
+        if not name.startswith("JACKDAWKEEL_")
+    }
+
+
+class ManagedProcess:
+    """A Python module that runs as a process of its own, and its log.
+
+    Attributes:
+        name: Name of the process and of its log.
+        arguments: What follows ``python -m``.
+        log: Path of its standard output over all restarts.
+    """
+
+    def __init__(self, name: str, arguments: list[str], folder: Path) -> None:
+        self.name = name
+        self.arguments = arguments
+        self.log = folder / f"{name}.log"
+        self.error_log = folder / f"{name}.err"
+        self.start()
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.kill()
+
+    def start(self) -> None:
+        """Starts the process."""
+        with self.log.open("ab") as output, self.error_log.open("ab") as errors:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", *self.arguments],
+                cwd=REPOSITORY,
+                env=clean_environment(),
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=errors,
+            )
+
+    def restart(self) -> None:
+        """Kills the process and starts it with the same arguments."""
+        self.kill()
+        self.start()
+
+    def freeze(self) -> None:
+        """Stops the process without ending it."""
+        self.process.send_signal(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Continues the process after a freeze."""
+        self.process.send_signal(signal.SIGCONT)
+
+    def terminate(self) -> None:
+        """Asks the process to end."""
+        self.process.terminate()
+
+    def kill(self) -> None:
+        """Ends the process at once, also when it is frozen."""
+        self.process.kill()
+        self.process.wait()
+
+    def wait(self, timeout_s: float = DEFAULT_WAIT_S) -> int:
+        """Waits for the end of the process and returns its exit code."""
+        return self.process.wait(timeout_s)
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process has not ended."""
+        return self.process.poll() is None
+
+    def tail(self) -> str:
+        """Returns the last lines of its output and of its errors."""
+        lines = [
+            *self.log.read_text(errors="replace").splitlines()[-LOG_TAIL_LINES:],
+            *self.error_log.read_text(errors="replace").splitlines()[-LOG_TAIL_LINES:],
+        ]
+        return "\n".join([f"--- {self.name}", *lines])
--- /dev/null
+++ b/tests/standins/proxy.py
@@ -0,0 +1,192 @@
+"""A TCP proxy that injects faults between two processes."""
+
+from __future__ import annotations
+
+import asyncio
+import threading
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import Self
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Coroutine
+
+
+CHUNK_BYTES = 64 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """A fault on connections; all off by default.
+
+    Attributes:
+        cut: Whether connections are closed and new ones refused.
+        silent: Whether nothing passes, and no end notices.
+        delay_s: Delay of each chunk each way, in seconds.
+    """
+
+    cut: bool = False
+    silent: bool = False
+    delay_s: float = 0.0
+
+
+NO_FAULT = Fault()
+
+
+@dataclass(eq=False, slots=True)
+class Connection:
+    """One connection through the proxy.
+
+    A connection that has lost a byte stays silent for good, since the stream would be
+    damaged by what follows.
+
+    Attributes:
+        source: IP number of the process that dialed.
+        writers: Both ends.
+        silent: Whether nothing passes any more.
+    """
+
+    source: str
+    writers: list[asyncio.StreamWriter] = field(default_factory=list)
+    silent: bool = False
+
+    def silence(self) -> None:
+        """Lets nothing pass any more, and no end either."""
+        self.silent = True
+
+    def close(self) -> None:
+        """Closes both ends."""
+        for writer in self.writers:
+            writer.transport.abort()
+
+
+class FaultProxy:
+    """Forwards connections to one upstream on a loop in a thread of its own.
+
+    Args:
+        address: ``IP:PORT`` to listen on.
+        upstream: ``IP:PORT`` to forward to.
+    """
+
+    def __init__(self, address: str, upstream: str) -> None:
+        self.address = address
+        self.upstream = upstream
+        self.faults: dict[str, Fault] = {}
+        self.fault = NO_FAULT
+        self.connections: set[Connection] = set()
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.loop = asyncio.new_event_loop()
+        self.thread = threading.Thread(target=self.loop.run_forever)
+
+    def __enter__(self) -> Self:
+        self.thread.start()
+        host, port = self.address.rsplit(":", 1)
+        start = asyncio.start_server(self._accept, host, int(port))
+        self.server = self._run(start)
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._run(self._stop())
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join()
+        self.loop.close()
+
+    def set_fault(self, fault: Fault, source: str | None = None) -> None:
+        """Sets the fault of one source IP number, or of all that have none."""
+        if source is None:
+            self.fault = fault
+        else:
+            self.faults[source] = fault
+        if fault.cut:
+            self._for_each(source, Connection.close)
+
+    def silence_present(self, source: str | None = None) -> None:
+        """Makes the present connections go silent for good; new ones work."""
+        self._for_each(source, Connection.silence)
+
+    def heal(self) -> None:
+        """Ends all faults; connections that went silent stay so."""
+        self.faults.clear()
+        self.fault = NO_FAULT
+
+    def _run(self, coroutine: Coroutine[Any, Any, Any]) -> Any:
+        return asyncio.run_coroutine_threadsafe(coroutine, self.loop).result()
+
+    def _for_each(
+        self, source: str | None, action: Callable[[Connection], None]
+    ) -> None:
+        async def act() -> None:
+            for connection in list(self.connections):
+                if source in (None, connection.source):
+                    action(connection)
+
+        self._run(act())
+
+    async def _stop(self) -> None:
+        self.server.close()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    def _find_fault(self, connection: Connection) -> Fault:
+        return self.faults.get(connection.source, self.fault)
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self.tasks.add(task)
+        source = writer.get_extra_info("peername")[0]
+        connection = Connection(source, [writer])
+        self.connections.add(connection)
+        try:
+            await self._forward(connection, reader, writer)
+        except (OSError, asyncio.CancelledError):
+            return
+        finally:
+            connection.close()
+            self.connections.discard(connection)
+            self.tasks.discard(task)
+
+    async def _forward(
+        self,
+        connection: Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        if self._find_fault(connection).cut:
+            return
+        host, port = self.upstream.rsplit(":", 1)
+        upstream_reader, upstream_writer = await asyncio.open_connection(host, port)
+        connection.writers.append(upstream_writer)
+        pumps = {
+            asyncio.create_task(self._pump(connection, reader, upstream_writer)),
+            asyncio.create_task(self._pump(connection, upstream_reader, writer)),
+        }
+        try:
+            await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for pump in pumps:
+                pump.cancel()
+            await asyncio.gather(*pumps, return_exceptions=True)
+
+    async def _pump(
+        self,
+        connection: Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        while chunk := await reader.read(CHUNK_BYTES):
+            fault = self._find_fault(connection)
+            await asyncio.sleep(fault.delay_s)
+            connection.silent = connection.silent or fault.silent
+            if not connection.silent:
+                writer.write(chunk)
+                await writer.drain()
+        if connection.silent or self._find_fault(connection).silent:
+            await asyncio.Event().wait()
--- /dev/null
+++ b/tests/standins/test_proxy.py
@@ -0,0 +1,116 @@
+"""The faults of the proxy, on plain sockets."""
+
+from __future__ import annotations
+
+import socket
+import unittest
+from contextlib import ExitStack
+
+from tests.standins.processes import pick_address
+from tests.standins.proxy import Fault
+from tests.standins.proxy import FaultProxy
+
+
+HOST = "127.0.0.1"
+PEER_HOST = "127.0.0.9"
+WAIT_S = 20.0
+SILENCE_S = 0.1
+
+
+class ProxyTest(unittest.TestCase):
+    def setUp(self) -> None:
+        stack = ExitStack()
+        self.addCleanup(stack.close)
+        self.stack = stack
+        self.listener = stack.enter_context(socket.create_server((HOST, 0)))
+        self.listener.settimeout(WAIT_S)
+        upstream = f"{HOST}:{self.listener.getsockname()[1]}"
+        self.proxy = stack.enter_context(FaultProxy(pick_address(HOST), upstream))
+
+    def connect(self, source: str = HOST) -> socket.socket:
+        """Connects to the proxy from an IP number."""
+        host, port = self.proxy.address.rsplit(":", 1)
+        client = socket.create_connection((host, int(port)), WAIT_S, (source, 0))
+        return self.stack.enter_context(client)
+
+    def accept(self) -> socket.socket:
+        """Accepts a connection of the proxy."""
+        upstream, _ = self.listener.accept()
+        upstream.settimeout(WAIT_S)
+        return self.stack.enter_context(upstream)
+
+    def assert_passes(self, sender: socket.socket, receiver: socket.socket) -> None:
+        sender.sendall(b"ping")
+        self.assertEqual(b"ping", receiver.recv(4))
+
+    def assert_silent(self, sender: socket.socket, receiver: socket.socket) -> None:
+        sender.sendall(b"lost")
+        receiver.settimeout(SILENCE_S)
+        with self.assertRaises(TimeoutError):
+            receiver.recv(4)
+
+    def test_bytes_and_ends_pass(self) -> None:
+        client = self.connect()
+        upstream = self.accept()
+        self.assert_passes(client, upstream)
+        self.assert_passes(upstream, client)
+        client.close()
+        self.assertEqual(b"", receive_end(upstream))
+
+    def test_present_connections_go_silent_while_new_ones_work(self) -> None:
+        client = self.connect()
+        upstream = self.accept()
+        self.assert_passes(client, upstream)
+        self.proxy.silence_present()
+        self.assert_silent(client, upstream)
+        self.assert_silent(upstream, client)
+        fresh = self.connect()
+        self.assert_passes(fresh, self.accept())
+
+    def test_one_source_goes_silent_for_good(self) -> None:
+        client = self.connect()
+        upstream = self.accept()
+        peer = self.connect(PEER_HOST)
+        peer_upstream = self.accept()
+        self.proxy.set_fault(Fault(silent=True), PEER_HOST)
+        self.assert_silent(peer, peer_upstream)
+        self.assert_passes(client, upstream)
+        self.proxy.heal()
+        self.assert_silent(peer, peer_upstream)
+        peer = self.connect(PEER_HOST)
+        self.assert_passes(peer, self.accept())
+
+    def test_cut_closes_and_refuses(self) -> None:
+        client = self.connect()
+        upstream = self.accept()
+        self.assert_passes(client, upstream)
+        self.proxy.set_fault(Fault(cut=True))
+        self.assertEqual(b"", receive_end(client))
+        self.assertEqual(b"", receive_end(upstream))
+        self.assertEqual(b"", receive_end(self.connect()))
+        self.proxy.heal()
+        self.assert_passes(self.connect(), self.accept())
+
+    def test_delay_keeps_the_order(self) -> None:
+        self.proxy.set_fault(Fault(delay_s=0.02))
+        client = self.connect()
+        upstream = self.accept()
+        sent = b"".join(bytes([number]) * 10 for number in range(20))
+        for start in range(0, len(sent), 10):
+            client.sendall(sent[start : start + 10])
+        received = b""
+        while len(received) < len(sent):
+            received += upstream.recv(len(sent))
+        self.assertEqual(sent, received)
+
+
+def receive_end(connection: socket.socket) -> bytes:
+    """Receives the end of a stream, orderly or not."""
+    try:
+        return connection.recv(1)
+    except ConnectionResetError:
+        return b""
+
+
+if __name__ == "__main__":
+    unittest.main()
