--- /dev/null
+++ b/src/jackdawkeel/metrics.py
@@ -0,0 +1,255 @@
+"""Counters, gauges and latency histograms of one process, and their export."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from dataclasses import field
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from collections.abc import Mapping
+
+
+LOWEST_US = 1
+HIGHEST_US = 3_600_000_000
+SIGNIFICANT_DIGITS = 2
+US_PER_S = 1_000_000
+QUANTILES = {"0.5": 50.0, "0.9": 90.0, "0.99": 99.0}
+MAXIMUM_QUANTILE = "1"
+PREFIX = "jackdawkeel_"
+
+
+class CounterName(StrEnum):
+    """Every counter; the comment in the export says what its label is."""
+
+    HTTP_REQUESTS = "http_requests"
+    ANSWERS = "answers"
+    MESSAGES_SENT = "messages_sent"
+    MESSAGES_RECEIVED = "messages_received"
+    MESSAGES_DROPPED = "messages_dropped"
+    ENVELOPES_SENT = "envelopes_sent"
+    ENVELOPES_RECEIVED = "envelopes_received"
+    STORE_CALLS = "store_calls"
+    TASKS = "tasks"
+
+
+class GaugeName(StrEnum):
+    """Every gauge."""
+
+    AGENTS = "agents"
+    ENTRIES = "entries"
+    REQUESTS_IN_FLIGHT = "requests_in_flight"
+    CONFIGURATION_REVISION = "configuration_revision"
+
+
+class HistogramName(StrEnum):
+    """Every latency histogram."""
+
+    REQUEST = "request_seconds"
+    JOB = "job_seconds"
+    TASK_RUN = "task_run_seconds"
+    TASK_WAIT = "task_wait_seconds"
+    STORE_CALL = "store_call_seconds"
+
+
+@dataclass(frozen=True, slots=True)
+class Description:
+    """What a metric is.
+
+    Attributes:
+        help: One line.
+        label: Name of the label that tells its values apart.
+    """
+
+    help: str
+    label: str
+
+
+DESCRIPTIONS: dict[StrEnum, Description] = {
+    CounterName.HTTP_REQUESTS: Description("Requests of callers.", "route"),
+    CounterName.ANSWERS: Description("Answers to callers.", "outcome"),
+    CounterName.MESSAGES_SENT: Description("Messages sent to processes.", "type"),
+    CounterName.MESSAGES_RECEIVED: Description("Messages from processes.", "type"),
+    CounterName.MESSAGES_DROPPED: Description("Messages dropped.", "reason"),
+    CounterName.ENVELOPES_SENT: Description("Envelopes sent over links.", "link"),
+    CounterName.ENVELOPES_RECEIVED: Description("Envelopes from links.", "link"),
+    CounterName.STORE_CALLS: Description("Calls to the store.", "call"),
+    CounterName.TASKS: Description("Tasks that ended.", "state"),
+    GaugeName.AGENTS: Description("Agents that are heard.", "state"),
+    GaugeName.ENTRIES: Description("Entries that are heard.", "state"),
+    GaugeName.REQUESTS_IN_FLIGHT: Description("Requests not yet answered.", "route"),
+    GaugeName.CONFIGURATION_REVISION: Description("Revision in force.", "scope"),
+    HistogramName.REQUEST: Description("Time to answer a request.", "route"),
+    HistogramName.JOB: Description("Time from admission to answer.", "service"),
+    HistogramName.TASK_RUN: Description("Time that a target took.", "service"),
+    HistogramName.TASK_WAIT: Description("Time before a task started.", "service"),
+    HistogramName.STORE_CALL: Description("Time of a call to the store.", "call"),
+}
+
+
+class LatencyHistogram:
+    """Latencies from 1 microsecond to 1 hour, to two significant digits.
+
+    Attributes:
+        count: Latencies recorded.
+        sum_s: Their sum in seconds.
+    """
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.sum_s = 0.0
+        self._histogram = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+
+    def record(self, seconds: float) -> None:
+        """Records a latency; one out of range counts as the nearest in range."""
+        microseconds = round(max(0.0, seconds) * US_PER_S)
+        self._histogram.record_value(min(max(LOWEST_US, microseconds), HIGHEST_US))
+        self.count += 1
+        self.sum_s += max(0.0, seconds)
+
+    def read_quantiles(self) -> dict[str, float]:
+        """Returns median, 0.9, 0.99 and maximum in seconds; empty without data."""
+        if not self.count:
+            return {}
+        read = self._histogram.get_value_at_percentile
+        quantiles = {name: read(rank) / US_PER_S for name, rank in QUANTILES.items()}
+        quantiles[MAXIMUM_QUANTILE] = self._histogram.get_max_value() / US_PER_S
+        return quantiles
+
+
+class HistogramReport(msgspec.Struct, frozen=True):
+    """A latency histogram in the JSON export; times are in seconds."""
+
+    count: int
+    sum: float
+    quantiles: dict[str, float]
+
+
+class MetricsReport(msgspec.Struct, frozen=True):
+    """All metrics of a process by name and label value."""
+
+    labels: dict[str, str]
+    counters: dict[str, dict[str, int]]
+    gauges: dict[str, dict[str, float]]
+    histograms: dict[str, dict[str, HistogramReport]]
+
+
+@dataclass(slots=True)
+class Metrics:
+    """The metrics of one process; used on its loop only.
+
+    Attributes:
+        labels: Labels that all metrics carry, such as the availability zone.
+    """
+
+    labels: dict[str, str] = field(default_factory=dict)
+    counters: dict[CounterName, Counter[str]] = field(default_factory=dict)
+    gauges: dict[GaugeName, dict[str, float]] = field(default_factory=dict)
+    histograms: dict[HistogramName, dict[str, LatencyHistogram]] = field(
+        default_factory=dict
+    )
+
+    def count(self, name: CounterName, label: str = "", amount: int = 1) -> None:
+        """Adds to a counter."""
+        self.counters.setdefault(name, Counter())[label] += amount
+
+    def replace_counts(self, name: CounterName, counts: Mapping[str, int]) -> None:
+        """Takes over the values of a counter that is kept elsewhere."""
+        self.counters[name] = Counter(counts)
+
+    def set_gauge(self, name: GaugeName, value: float, label: str = "") -> None:
+        """Sets a gauge."""
+        self.gauges.setdefault(name, {})[label] = value
+
+    def observe(self, name: HistogramName, seconds: float, label: str = "") -> None:
+        """Records a latency in seconds."""
+        by_label = self.histograms.setdefault(name, {})
+        histogram = by_label.get(label)
+        if histogram is None:
+            histogram = by_label[label] = LatencyHistogram()
+        histogram.record(seconds)
+
+    def report(self) -> MetricsReport:
+        """Returns all metrics as they are now."""
+        histograms = {
+            name.value: {
+                label: _report_histogram(item) for label, item in items.items()
+            }
+            for name, items in self.histograms.items()
+        }
+        return MetricsReport(
+            labels=dict(self.labels),
+            counters={name.value: dict(item) for name, item in self.counters.items()},
+            gauges={name.value: dict(item) for name, item in self.gauges.items()},
+            histograms=histograms,
+        )
+
+    def render_json(self) -> bytes:
+        """Returns all metrics as JSON."""
+        return msgspec.json.encode(self.report())
+
+    def render_text(self) -> str:
+        """Returns all metrics in the plain text form that scrapers read."""
+        lines: list[str] = []
+        for counter, counts in sorted(self.counters.items()):
+            lines += self._render_values(counter, "counter", "_total", counts)
+        for gauge, values in sorted(self.gauges.items()):
+            lines += self._render_values(gauge, "gauge", "", values)
+        for name, histograms in sorted(self.histograms.items()):
+            lines += _render_header(name, "summary", "")
+            for label, histogram in sorted(histograms.items()):
+                lines += self._render_histogram(name, label, histogram)
+        return "".join(f"{line}\n" for line in lines)
+
+    def _render_values(
+        self, name: StrEnum, kind: str, suffix: str, values: Mapping[str, float]
+    ) -> Iterator[str]:
+        yield from _render_header(name, kind, suffix)
+        for label, value in sorted(values.items()):
+            labels = _render_labels(self._name_labels(name, label))
+            yield f"{PREFIX}{name.value}{suffix}{labels} {value}"
+
+    def _render_histogram(
+        self, name: HistogramName, label: str, histogram: LatencyHistogram
+    ) -> Iterator[str]:
+        labels = self._name_labels(name, label)
+        for quantile, seconds in histogram.read_quantiles().items():
+            text = _render_labels(labels | {"quantile": quantile})
+            yield f"{PREFIX}{name.value}{text} {seconds}"
+        text = _render_labels(labels)
+        yield f"{PREFIX}{name.value}_sum{text} {histogram.sum_s}"
+        yield f"{PREFIX}{name.value}_count{text} {histogram.count}"
+
+    def _name_labels(self, name: StrEnum, label: str) -> dict[str, str]:
+        own = {DESCRIPTIONS[name].label: label} if label else {}
+        return self.labels | own
+
+
+def _report_histogram(histogram: LatencyHistogram) -> HistogramReport:
+    return HistogramReport(histogram.count, histogram.sum_s, histogram.read_quantiles())
+
+
+def _render_header(name: StrEnum, kind: str, suffix: str) -> list[str]:
+    full_name = f"{PREFIX}{name.value}{suffix}"
+    return [
+        f"# HELP {full_name} {DESCRIPTIONS[name].help}",
+        f"# TYPE {full_name} {kind}",
+    ]
+
+
+def _render_labels(labels: Mapping[str, str]) -> str:
+    if not labels:
+        return ""
+    pairs = [f'{name}="{_escape_label(text)}"' for name, text in labels.items()]
+    return "{" + ",".join(pairs) + "}"
+
+
+def _escape_label(text: str) -> str:
+    return text.replace("\\", r"\\").replace('"', r"\"").replace("\n", r"\n")
