--- /dev/null
+++ b/src/jackdawkeel/agent/daemon.py
@@ -0,0 +1,254 @@
+"""Wires the controllers of an agent to its loop, link, target and store."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+from concurrent.futures import ThreadPoolExecutor
+from typing import TYPE_CHECKING
+
+from ..clock import read_boot_clock
+from ..controllers.admission import AdmissionController
+from ..controllers.agent_configuration import AgentConfigurationController
+from ..controllers.dispatch import DispatchController
+from ..controllers.entry_roster import EntryRosterController
+from ..controllers.execution import ExecutionController
+from ..controllers.peers import PeerController
+from ..events import EventName
+from ..job_id import mint_incarnation
+from ..link.node import LinkNode
+from ..logs import EventLog
+from ..messages import AgentDescription
+from ..messages import AgentLoad
+from ..messages import PeerAddress
+from ..messages import PeerStatus
+from ..store.entries import list_entries
+from ..store.etcd import EtcdStore
+from ..target.client import TargetClient
+from .heartbeat import make_heartbeat
+from .home import Home
+from .refusals import find_job_refusal
+from .routing import route_message
+
+
+if TYPE_CHECKING:
+    from ..answer import Answer
+    from ..controllers.execution import TaskRecord
+    from ..messages import HeartbeatReply
+    from ..messages import Message
+    from ..settings import AgentSettings
+    from ..target.client import TargetResult
+
+
+TICK_S = 0.05
+HEARTBEAT_S = 1.0
+HEARTBEAT_JITTER = 0.1
+TASK_TIMEOUT_S = 120.0
+QUEUE_LIMIT_PER_SLOT = 2
+DRAIN_POLL_S = 0.05
+DRAIN_SETTLE_S = 5.0
+DRAIN_LINGER_S = 0.3
+
+
+class Agent:
+    """One agent process: state on the loop, target calls on threads."""
+
+    def __init__(self, settings: AgentSettings, log: EventLog) -> None:
+        self.settings = settings
+        self.log = log
+        self.clock = read_boot_clock
+        self.address = PeerAddress(log.incarnation, settings.advertise)
+        self.description = AgentDescription(
+            address=self.address,
+            target=settings.target,
+            services=settings.services,
+            availability_zone=settings.availability_zone,
+            rack=settings.rack,
+            slots=settings.slots,
+            connections=settings.connections,
+        )
+        self.loop = asyncio.get_running_loop()
+        self.configuration = AgentConfigurationController(
+            settings.availability_zone, self.clock
+        )
+        self.entries = EntryRosterController(self.clock)
+        self.node = LinkNode(
+            listen=settings.link,
+            address=self.address,
+            clock=self.clock,
+            log=log,
+            deliver=self.deliver,
+        )
+        self.peers = PeerController(
+            PeerStatus(
+                self.address,
+                settings.services,
+                settings.availability_zone,
+                settings.slots,
+                AgentLoad(),
+            ),
+            self.clock,
+            self.configuration.is_zone_in_service,
+        )
+        self.execution = ExecutionController(
+            slots=settings.slots,
+            queue_limit=settings.slots * QUEUE_LIMIT_PER_SLOT,
+            clock=self.clock,
+            log=log,
+            send=self.node.send,
+            start=self.start_task,
+            find_start_refusal=self.configuration.find_start_refusal,
+        )
+        self.dispatch = DispatchController(
+            clock=self.clock,
+            log=log,
+            peers=self.peers,
+            send=self.node.send,
+            redial=self.node.redial,
+            finish=self.finish_job,
+        )
+        self.admission = AdmissionController(self.address.incarnation, self.clock)
+        self.home = Home(
+            admission=self.admission,
+            dispatch=self.dispatch,
+            log=log,
+            send=self.node.send,
+            find_job_refusal=lambda message: find_job_refusal(self, message),
+        )
+        self.target = TargetClient(settings.target, settings.connections, self.clock)
+        self.threads = ThreadPoolExecutor(settings.slots, "target")
+        self.store = EtcdStore(settings.store)
+        self.stopped = asyncio.Event()
+        self.had_lease = False
+
+    def deliver(self, sender: PeerAddress, message: Message) -> None:
+        """Takes one message from the link."""
+        route_message(self, sender, message)
+
+    def finish_job(self, job_id: str, answer: Answer) -> None:
+        """Hands the final answer of a job to the home."""
+        self.home.finish(job_id, answer)
+
+    def start_task(self, record: TaskRecord) -> None:
+        """Starts a task on a thread; the result comes back to the loop."""
+        self.log.record(
+            EventName.TASK_STARTED, job=record.task.job_id, index=record.task.index
+        )
+        permit_expires_at = min(self.configuration.lease_until, record.expires_at)
+        self.threads.submit(self._run_task, record, permit_expires_at)
+
+    def _run_task(self, record: TaskRecord, permit_expires_at: float) -> None:
+        task = record.task
+        result = self.target.call(
+            task.job_id,
+            task.index,
+            task.service,
+            task.payload,
+            permit_expires_at,
+            TASK_TIMEOUT_S,
+        )
+        self.loop.call_soon_threadsafe(self._take_result, record, result)
+
+    def _take_result(self, record: TaskRecord, result: TargetResult) -> None:
+        self.execution.handle_result(record, result.state, result.body, result.reason)
+
+    def apply_heartbeat_reply(self, sender: PeerAddress, reply: HeartbeatReply) -> None:
+        """Takes configuration, lease, entries and peers from an entry."""
+        self.entries.record_reply(sender.incarnation)
+        self.entries.add(reply.entries)
+        if self.configuration.apply_reply(reply):
+            revision = self.configuration.configuration.revision
+            self.log.record(EventName.CONFIGURATION_APPLIED, revision=revision)
+        self.peers.own_ejected = reply.ejected
+        self.peers.apply_list(reply.peers)
+        self.execution.start_ready()
+        self.dispatch.dispatch_ready()
+
+    async def run(self) -> None:
+        """Serves until told to stop and all work here has ended."""
+        with self.node, self.target, self.store:
+            self._install_signals()
+            tasks = [
+                asyncio.create_task(self._heartbeat_forever()),
+                asyncio.create_task(self._tick_forever()),
+            ]
+            await self.stopped.wait()
+            await self._drain()
+            for task in tasks:
+                task.cancel()
+        self.threads.shutdown(wait=False)
+
+    def _install_signals(self) -> None:
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(number, self.stop)
+
+    def stop(self) -> None:
+        """Begins the drain; a second call changes nothing."""
+        if self.stopped.is_set():
+            return
+        self.log.record(EventName.DRAINING)
+        self.configuration.leaving = True
+        self.peers.own_leaving = True
+        self.execution.start_ready()
+        self.send_heartbeats()
+        self.stopped.set()
+
+    async def _drain(self) -> None:
+        while self.dispatch.jobs or self.execution.running:
+            await asyncio.sleep(DRAIN_POLL_S)
+        settle_until = self.clock() + DRAIN_SETTLE_S
+        while self.execution.has_unsettled() and self.clock() < settle_until:
+            await asyncio.sleep(DRAIN_POLL_S)
+        await asyncio.sleep(DRAIN_LINGER_S)
+
+    async def _tick_forever(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            self.execution.tick()
+            self.dispatch.tick()
+            self.admission.tick()
+            self._log_lease()
+
+    def _log_lease(self) -> None:
+        has_lease = self.configuration.has_lease()
+        if has_lease != self.had_lease:
+            self.had_lease = has_lease
+            name = EventName.LEASE_RENEWED if has_lease else EventName.LEASE_LOST
+            self.log.record(name)
+
+    async def _heartbeat_forever(self) -> None:
+        while True:
+            if self.entries.is_cut_off():
+                await self._read_entries()
+            for entry in self.entries.list_to_redial():
+                self.node.redial(entry.address.link)
+            self.send_heartbeats()
+            self.node.close_idle_links()
+            spread = random.uniform(-HEARTBEAT_JITTER, HEARTBEAT_JITTER)
+            await asyncio.sleep(HEARTBEAT_S * (1 + spread))
+
+    async def _read_entries(self) -> None:
+        found = await self.loop.run_in_executor(None, list_entries, self.store)
+        if found.is_ok():
+            self.entries.add(found.unwrap())
+
+    def send_heartbeats(self) -> None:
+        """Announces this agent to its entries."""
+        heartbeat = make_heartbeat(self)
+        for entry in self.entries.choose():
+            self.node.send(entry.address, heartbeat)
+
+
+def run_agent(settings: AgentSettings) -> int:
+    """Runs an agent until it is told to stop; returns the exit code."""
+    incarnation = mint_incarnation()
+    log = EventLog("agent", incarnation, settings.availability_zone)
+    log.record(EventName.PROCESS_STARTED, link=settings.link)
+    asyncio.run(_run(settings, log))
+    log.record(EventName.PROCESS_STOPPED)
+    return 0
+
+
+async def _run(settings: AgentSettings, log: EventLog) -> None:
+    await Agent(settings, log).run()
--- /dev/null
+++ b/src/jackdawkeel/agent/heartbeat.py
@@ -0,0 +1,33 @@
+"""What an agent announces in its heartbeat."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..messages import AgentLoad
+from ..messages import Heartbeat
+
+
+if TYPE_CHECKING:
+    from .daemon import Agent
+
+
+def make_heartbeat(agent: Agent) -> Heartbeat:
+    """Builds the heartbeat of this moment."""
+    execution = agent.execution
+    load = AgentLoad(
+        running=execution.running,
+        queued=len(execution.queue),
+        waiting=agent.dispatch.count_waiting(),
+        completed=execution.completed,
+        failed=execution.failed,
+        envelopes_sent=agent.node.envelopes_sent,
+    )
+    return Heartbeat(
+        sent_at=agent.clock(),
+        agent=agent.description,
+        era=agent.admission.era,
+        load=load,
+        revision=agent.configuration.configuration.revision,
+        leaving=agent.configuration.leaving,
+    )
--- /dev/null
+++ b/src/jackdawkeel/agent/refusals.py
@@ -0,0 +1,32 @@
+"""Why a new job is not admitted at this home."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..errors import DispatchError
+from ..errors import ErrorKind
+
+
+if TYPE_CHECKING:
+    from ..messages import SubmitJob
+    from .daemon import Agent
+
+
+MAX_WAITING_TASKS = 2_000
+
+
+def find_job_refusal(agent: Agent, message: SubmitJob) -> DispatchError | None:
+    """Returns why the job can't be admitted now, or None."""
+    if agent.configuration.leaving:
+        return DispatchError(ErrorKind.SHUTTING_DOWN, "the home of this id is leaving")
+    if not agent.configuration.has_lease():
+        text = "the home of this id is cut off from the configuration"
+        return DispatchError(ErrorKind.NOT_READY, text)
+    if not agent.peers.has_any(message.service):
+        text = f"service {message.service} has no target in service"
+        return DispatchError(ErrorKind.NO_TARGET, text)
+    if agent.dispatch.count_waiting() > MAX_WAITING_TASKS:
+        text = "too many tasks wait at the home of this id"
+        return DispatchError(ErrorKind.OVERLOADED, text)
+    return None
--- /dev/null
+++ b/src/jackdawkeel/controllers/admission.py
@@ -0,0 +1,144 @@
+"""Which job ids this home has admitted, and what it answered."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from ..answer import Answer
+from ..answer import answer_error
+from ..answer import encode_answer
+from ..errors import DispatchError
+from ..errors import ErrorKind
+
+
+if TYPE_CHECKING:
+    from ..clock import Clock
+    from ..job_id import JobId
+    from ..messages import PeerAddress
+
+
+ERA_S = 600.0
+MAX_IDS_PER_ERA = 50_000
+KEPT_ERAS = 3
+MAX_KEPT_ANSWER_BYTES = 8 * 1024 * 1024
+ANSWER_KEPT_S = 900.0
+
+
+@dataclass(slots=True)
+class JobRecord:
+    """What a home knows of one job id.
+
+    Attributes:
+        digest: Digest of the body that was admitted or refused.
+        answer: The encoded final answer, or None while the job runs.
+        waiters: Entries that wait for the answer.
+    """
+
+    digest: str
+    answer: bytes | None = None
+    waiters: dict[str, PeerAddress] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class KeptAnswer:
+    """An answer that counts towards the bound on kept answers."""
+
+    job_id: JobId
+    kept_at: float
+    size_bytes: int
+
+
+class AdmissionController:
+    """Admits each id at most once, in bounded memory.
+
+    Ids carry the era in which they were minted. The record of an era is dropped as
+    a whole, and ids of dropped eras are never admitted again.
+
+    Attributes:
+        era: The era in which new ids are minted.
+        oldest_era: Ids of lower eras are refused.
+    """
+
+    def __init__(self, incarnation: str, clock: Clock) -> None:
+        self.incarnation = incarnation
+        self.clock = clock
+        self.era = 1
+        self.oldest_era = 1
+        self.era_started_at = clock()
+        self.eras: dict[int, dict[str, JobRecord]] = {1: {}}
+        self.kept: deque[KeptAnswer] = deque()
+        self.kept_bytes = 0
+
+    def find(self, job_id: JobId) -> JobRecord | None:
+        """Returns the record of an id, or None if it was never seen."""
+        return self.eras.get(job_id.era, {}).get(job_id.nonce)
+
+    def find_refusal(self, job_id: JobId) -> DispatchError | None:
+        """Returns why the id can't be looked up here, or None."""
+        if job_id.incarnation != self.incarnation or job_id.era > self.era:
+            return DispatchError(ErrorKind.NO_SUCH_ID, "no agent minted this job id")
+        if job_id.era < self.oldest_era:
+            message = "the record of this job id has been dropped; it may have run"
+            return DispatchError(ErrorKind.ID_EXPIRED, message)
+        return None
+
+    def admit(self, job_id: JobId, digest: str) -> JobRecord:
+        """Records a new id as admitted; the caller has checked that it is new."""
+        record = JobRecord(digest)
+        self.eras[job_id.era][job_id.nonce] = record
+        return record
+
+    def keep_answer(self, job_id: JobId, answer: Answer) -> bytes:
+        """Records the final answer of an admitted id and returns it encoded."""
+        record = self.eras[job_id.era][job_id.nonce]
+        encoded = encode_answer(answer)
+        record.answer = encoded
+        if answer.results is not None:
+            self.kept.append(KeptAnswer(job_id, self.clock(), len(encoded)))
+            self.kept_bytes += len(encoded)
+            self._drop_answers()
+        return encoded
+
+    def tick(self) -> None:
+        """Turns the era over when it is old or large, and drops old answers."""
+        self._drop_answers()
+        age_s = self.clock() - self.era_started_at
+        is_full = len(self.eras[self.era]) >= MAX_IDS_PER_ERA
+        if age_s >= ERA_S or is_full:
+            self._turn_era()
+
+    def _turn_era(self) -> None:
+        if self.era - self.oldest_era + 1 >= KEPT_ERAS and not self._drop_oldest_era():
+            return
+        self.era += 1
+        self.eras[self.era] = {}
+        self.era_started_at = self.clock()
+
+    def _drop_oldest_era(self) -> bool:
+        records = self.eras[self.oldest_era].values()
+        if any(record.answer is None for record in records):
+            return False
+        del self.eras[self.oldest_era]
+        self.oldest_era += 1
+        return True
+
+    def _drop_answers(self) -> None:
+        oldest_kept = self.clock() - ANSWER_KEPT_S
+        while self.kept and (
+            self.kept_bytes > MAX_KEPT_ANSWER_BYTES
+            or self.kept[0].kept_at < oldest_kept
+        ):
+            kept = self.kept.popleft()
+            self.kept_bytes -= kept.size_bytes
+            record = self.find(kept.job_id)
+            if record is not None:
+                record.answer = _encode_expired(kept.job_id)
+
+
+def _encode_expired(job_id: JobId) -> bytes:
+    message = "the job was done, but its answer is no longer kept"
+    error = DispatchError(ErrorKind.ANSWER_EXPIRED, message)
+    return encode_answer(answer_error(str(job_id), error))
--- /dev/null
+++ b/src/jackdawkeel/controllers/agent_configuration.py
@@ -0,0 +1,70 @@
+"""The configuration as it is in force at one agent, and its lease."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..messages import AgentConfiguration
+
+
+if TYPE_CHECKING:
+    from ..clock import Clock
+    from ..messages import HeartbeatReply
+
+
+class AgentConfigurationController:
+    """Decides whether the configuration lets a task start at this agent.
+
+    Attributes:
+        configuration: The last configuration heard.
+        lease_until: End of the lease, in seconds of the clock.
+        leaving: Whether the agent takes no new work.
+    """
+
+    def __init__(self, availability_zone: str, clock: Clock) -> None:
+        self.availability_zone = availability_zone
+        self.clock = clock
+        self.configuration = AgentConfiguration(0, {}, {})
+        self.lease_until = 0.0
+        self.leaving = False
+
+    def apply_reply(self, reply: HeartbeatReply) -> bool:
+        """Applies an entry's reply; returns whether the configuration changed.
+
+        The lease counts from the sending of the heartbeat. A reply about another
+        revision than the one in force renews nothing.
+        """
+        changed = self._apply_configuration(reply.configuration)
+        if reply.revision != self.configuration.revision:
+            return changed
+        if reply.lease_ms > 0:
+            until = reply.sent_at + reply.lease_ms / 1000
+            self.lease_until = max(self.lease_until, until)
+        return changed
+
+    def has_lease(self) -> bool:
+        """Returns whether an entry has confirmed the configuration lately."""
+        return self.clock() < self.lease_until
+
+    def is_zone_in_service(self, availability_zone: str) -> bool:
+        """Returns whether operators have the availability zone in service."""
+        record = self.configuration.availability_zones.get(availability_zone)
+        return record is None or record.state.in_service
+
+    def find_start_refusal(self) -> str:
+        """Returns why no task may start here now, or an empty text."""
+        if self.leaving:
+            return "the agent is leaving"
+        if not self.has_lease():
+            return "the configuration lease has lapsed"
+        if not self.is_zone_in_service(self.availability_zone):
+            return "the availability zone is out of service"
+        return ""
+
+    def _apply_configuration(self, configuration: AgentConfiguration | None) -> bool:
+        if configuration is None:
+            return False
+        if configuration.revision <= self.configuration.revision:
+            return False
+        self.configuration = configuration
+        return True
--- /dev/null
+++ b/src/jackdawkeel/controllers/entry_roster.py
@@ -0,0 +1,91 @@
+"""The entries that an agent reports to."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+
+if TYPE_CHECKING:
+    from ..clock import Clock
+    from ..messages import PeerAddress
+
+
+MAX_ENTRIES = 3
+SILENT_AFTER_S = 2.5
+DROP_AFTER_S = 30.0
+
+
+@dataclass(slots=True, eq=False)
+class KnownEntry:
+    """An entry as an agent knows it.
+
+    Attributes:
+        address: The entry.
+        added_at: When it became known, in seconds of the clock.
+        heard_at: When it last replied, or ``added_at``.
+        redialed_at: When the link to it was last replaced.
+    """
+
+    address: PeerAddress
+    added_at: float
+    heard_at: float
+    redialed_at: float = 0.0
+
+
+class EntryRosterController:
+    """Chooses a bounded number of entries, those that reply first."""
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.entries: dict[str, KnownEntry] = {}
+
+    def add(self, addresses: list[PeerAddress]) -> None:
+        """Adds entries that the store or another entry names."""
+        now = self.clock()
+        for address in addresses:
+            if address.incarnation not in self.entries:
+                known = KnownEntry(address, now, now)
+                self.entries[address.incarnation] = known
+
+    def record_reply(self, incarnation: str) -> None:
+        """Notes that an entry has replied."""
+        entry = self.entries.get(incarnation)
+        if entry is not None:
+            entry.heard_at = self.clock()
+
+    def remove(self, incarnation: str) -> None:
+        """Forgets an entry whose process has ended."""
+        self.entries.pop(incarnation, None)
+
+    def choose(self) -> list[KnownEntry]:
+        """Returns the entries to report to, the most lately heard first."""
+        now = self.clock()
+        for entry in list(self.entries.values()):
+            if now - entry.heard_at > DROP_AFTER_S:
+                self.remove(entry.address.incarnation)
+        heard = sorted(
+            self.entries.values(),
+            key=lambda entry: (self._is_silent(entry, now), entry.added_at),
+        )
+        return heard[:MAX_ENTRIES]
+
+    def list_to_redial(self) -> list[KnownEntry]:
+        """Returns chosen entries whose link is silent and was not just replaced."""
+        now = self.clock()
+        silent = [
+            entry
+            for entry in self.choose()
+            if self._is_silent(entry, now) and now - entry.redialed_at > SILENT_AFTER_S
+        ]
+        for entry in silent:
+            entry.redialed_at = now
+        return silent
+
+    def is_cut_off(self) -> bool:
+        """Returns whether no known entry replies."""
+        now = self.clock()
+        return all(self._is_silent(entry, now) for entry in self.entries.values())
+
+    def _is_silent(self, entry: KnownEntry, now: float) -> bool:
+        return now - entry.heard_at > SILENT_AFTER_S
--- /dev/null
+++ b/src/jackdawkeel/controllers/execution.py
@@ -0,0 +1,279 @@
+"""The tasks that an agent runs on its own target, for any home."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from ..events import EventName
+from ..messages import TaskReport
+from ..messages import TaskReports
+from ..task_state import TaskState
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..clock import Clock
+    from ..logs import EventLog
+    from ..messages import CancelTasks
+    from ..messages import DispatchTasks
+    from ..messages import Message
+    from ..messages import PeerAddress
+    from ..messages import TaskDispatch
+    from ..messages import TaskQuery
+
+
+MAX_KEPT_RESULT_BYTES = 16 * 1024 * 1024
+HOME_SILENCE_S = 600.0
+
+
+@dataclass(slots=True, eq=False)
+class TaskRecord:
+    """One dispatch as this agent knows it.
+
+    Attributes:
+        task: The dispatch; its payload is dropped when the task has ended.
+        home: The home that sent it.
+        expires_at: When it may no longer start, in seconds of the clock.
+        state: None while it waits in the queue.
+        body: The target's answer if the state is done.
+        reason: One sentence if it did not end well.
+    """
+
+    task: TaskDispatch
+    home: PeerAddress
+    expires_at: float
+    state: TaskState | None = None
+    body: bytes = b""
+    reason: str = ""
+
+
+@dataclass(slots=True, eq=False)
+class HomeRecords:
+    """The dispatches of one home.
+
+    Attributes:
+        address: The home.
+        heard_at: When it was last heard, in seconds of the clock.
+        oldest_open: Dispatches with lower numbers are settled.
+        forgotten: Whether records that the home had not settled were dropped.
+        records: The records by dispatch number.
+        unsent: Reports that leave with the next message.
+    """
+
+    address: PeerAddress
+    heard_at: float
+    oldest_open: int = 0
+    forgotten: bool = False
+    records: dict[int, TaskRecord] = field(default_factory=dict)
+    unsent: list[TaskReport] = field(default_factory=list)
+
+
+class ExecutionController:
+    """Queues dispatches, starts them within the slots, and reports to their homes."""
+
+    def __init__(
+        self,
+        *,
+        slots: int,
+        queue_limit: int,
+        clock: Clock,
+        log: EventLog,
+        send: Callable[[PeerAddress, Message], None],
+        start: Callable[[TaskRecord], None],
+        find_start_refusal: Callable[[], str],
+    ) -> None:
+        """Describes the controller.
+
+        Args:
+            slots: Tasks that the target runs at once.
+            queue_limit: Dispatches that may wait; more are refused.
+            clock: Clock in seconds.
+            log: Event log.
+            send: Sends a message to a process.
+            start: Hands a task to the target client; must not block.
+            find_start_refusal: Returns why no task may start now, or "".
+        """
+        self.slots = slots
+        self.queue_limit = queue_limit
+        self.clock = clock
+        self.log = log
+        self.send = send
+        self.start = start
+        self.find_start_refusal = find_start_refusal
+        self.homes: dict[str, HomeRecords] = {}
+        self.queue: deque[TaskRecord] = deque()
+        self.running = 0
+        self.completed = 0
+        self.failed = 0
+        self.kept_bytes = 0
+
+    def handle_dispatch(self, home: PeerAddress, message: DispatchTasks) -> None:
+        """Queues dispatches; refuses those that may not start or do not fit."""
+        records = self._hear_home(home, message.oldest_open)
+        for task in message.tasks:
+            if task.number < records.oldest_open or task.number in records.records:
+                continue
+            expires_at = self.clock() + task.deadline_ms / 1000
+            record = TaskRecord(task, home, expires_at)
+            records.records[task.number] = record
+            if len(self.queue) >= self.queue_limit + self.slots - self.running:
+                self._end(record, TaskState.NOT_STARTED, reason="the queue is full")
+                continue
+            self.queue.append(record)
+        self.start_ready()
+        self._send_reports(records)
+
+    def handle_query(self, home: PeerAddress, message: TaskQuery) -> None:
+        """Reports the state of the dispatches that a home asks about."""
+        records = self._hear_home(home, message.oldest_open)
+        for number in message.numbers:
+            records.unsent.append(self._describe(records, number))
+        self._send_reports(records)
+
+    def handle_cancel(self, home: PeerAddress, message: CancelTasks) -> None:
+        """Ends the dispatches that have not started; the others run on."""
+        records = self._hear_home(home, message.oldest_open)
+        for number in message.numbers:
+            record = records.records.get(number)
+            if record is not None and record.state is None:
+                self.queue.remove(record)
+                self._end(record, TaskState.NOT_STARTED, reason="cancelled")
+        self._send_reports(records)
+
+    def handle_settled(self, home: PeerAddress, oldest_open: int) -> None:
+        """Drops the records that a home has settled."""
+        self._hear_home(home, oldest_open)
+
+    def handle_result(
+        self, record: TaskRecord, state: TaskState, body: bytes, reason: str
+    ) -> None:
+        """Takes what the target client says of a started task."""
+        self.running -= 1
+        self._end(record, state, body=body, reason=reason)
+        self.start_ready()
+        self._send_reports(self.homes[record.home.incarnation])
+
+    def start_ready(self) -> None:
+        """Starts queued tasks while slots are free, or hands all of them back."""
+        refusal = self.find_start_refusal()
+        if refusal:
+            self._hand_back_queue(refusal)
+            return
+        while self.queue and self.running < self.slots:
+            record = self.queue.popleft()
+            if self.clock() >= record.expires_at:
+                reason = "the deadline passed before the start"
+                self._end(record, TaskState.NOT_STARTED, reason=reason)
+                continue
+            record.state = TaskState.RUNNING
+            self.running += 1
+            self.start(record)
+
+    def has_unsettled(self) -> bool:
+        """Returns whether some home has not settled a result that it was sent."""
+        return any(
+            self._has_ended(record) and record.state is not TaskState.NOT_STARTED
+            for records in self.homes.values()
+            for record in records.records.values()
+        )
+
+    def tick(self) -> None:
+        """Hands back what may not start, and forgets homes that are long silent."""
+        self.start_ready()
+        now = self.clock()
+        for records in self.homes.values():
+            self._send_reports(records)
+            if records.records and now - records.heard_at > HOME_SILENCE_S:
+                self._forget(records)
+
+    def _hand_back_queue(self, reason: str) -> None:
+        queue, self.queue = self.queue, deque()
+        for record in queue:
+            self._end(record, TaskState.NOT_STARTED, reason=reason)
+        for home in {record.home for record in queue}:
+            self._send_reports(self.homes[home.incarnation])
+
+    def _hear_home(self, home: PeerAddress, oldest_open: int) -> HomeRecords:
+        records = self.homes.get(home.incarnation)
+        if records is None:
+            records = HomeRecords(home, self.clock())
+            self.homes[home.incarnation] = records
+        records.heard_at = self.clock()
+        if oldest_open > records.oldest_open:
+            records.oldest_open = oldest_open
+            self._drop_settled(records)
+        return records
+
+    def _drop_settled(self, records: HomeRecords) -> None:
+        settled = [
+            number
+            for number, record in records.records.items()
+            if number < records.oldest_open and self._has_ended(record)
+        ]
+        for number in settled:
+            self.kept_bytes -= len(records.records.pop(number).body)
+
+    def _has_ended(self, record: TaskRecord) -> bool:
+        return record.state not in (None, TaskState.RUNNING)
+
+    def _forget(self, records: HomeRecords) -> None:
+        for number, record in list(records.records.items()):
+            if self._has_ended(record):
+                self.kept_bytes -= len(record.body)
+                del records.records[number]
+                records.forgotten = True
+
+    def _end(
+        self, record: TaskRecord, state: TaskState, *, body: bytes = b"", reason: str
+    ) -> None:
+        record.state = state
+        record.reason = reason
+        if state is TaskState.DONE:
+            self.completed += 1
+        elif state is not TaskState.NOT_STARTED:
+            self.failed += 1
+        record.body = body
+        self.kept_bytes += len(body)
+        self.log.record(
+            EventName.TASK_ENDED,
+            job=record.task.job_id,
+            index=record.task.index,
+            state=state.value,
+            reason=reason,
+        )
+        records = self.homes[record.home.incarnation]
+        records.unsent.append(self._describe(records, record.task.number))
+        if self.kept_bytes > MAX_KEPT_RESULT_BYTES:
+            self._drop_bodies()
+
+    def _drop_bodies(self) -> None:
+        for records in self.homes.values():
+            for record in records.records.values():
+                if record.state is TaskState.DONE and record.body:
+                    self.kept_bytes -= len(record.body)
+                    record.body = b""
+                    record.state = TaskState.UNKNOWN
+                    record.reason = "the result was dropped for want of memory"
+                if self.kept_bytes <= MAX_KEPT_RESULT_BYTES // 2:
+                    return
+
+    def _describe(self, records: HomeRecords, number: int) -> TaskReport:
+        record = records.records.get(number)
+        if record is None:
+            if records.forgotten or number < records.oldest_open:
+                reason = "the record was dropped"
+                return TaskReport(number, TaskState.UNKNOWN.value, reason=reason)
+            reason = "it has not arrived"
+            return TaskReport(number, TaskState.NOT_STARTED.value, reason=reason)
+        state = record.state or TaskState.RUNNING
+        return TaskReport(number, state.value, record.body, record.reason)
+
+    def _send_reports(self, records: HomeRecords) -> None:
+        if not records.unsent:
+            return
+        reports, records.unsent = records.unsent, []
+        self.send(records.address, TaskReports(reports, self.running, len(self.queue)))
--- /dev/null
+++ b/src/jackdawkeel/controllers/peers.py
@@ -0,0 +1,163 @@
+"""The agents that may run tasks of this home, and the load it expects of them."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from ..policy.candidates import Candidate
+from ..policy.placement import choose_executor
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..clock import Clock
+    from ..messages import PeerStatus
+    from ..messages import TaskReports
+    from .dispatch import Dispatch
+
+
+QUEUE_ALLOWANCE = 2
+UNLISTED_S = 10.0
+
+
+@dataclass(slots=True, eq=False)
+class Peer:
+    """An agent as this home sees it.
+
+    Attributes:
+        status: The agent as an entry last described it.
+        outstanding: This home's open dispatches there, in order of number.
+        reported: Tasks there that are not this home's, as last reported.
+        listed_at: When an entry last listed it, in seconds of the clock.
+        heard_at: When it last sent anything here.
+        sent_at: When a message with settled numbers was last sent to it.
+        asked_at: Since when a query has had no answer, or None.
+        queried_at: When the last query was sent.
+        backoff_until: Until when it gets nothing, as it refused a task.
+        unsettled: Whether dispatches have ended since ``sent_at``.
+    """
+
+    status: PeerStatus
+    outstanding: dict[int, Dispatch] = field(default_factory=dict)
+    reported: int = 0
+    listed_at: float = 0.0
+    heard_at: float = 0.0
+    sent_at: float = 0.0
+    asked_at: float | None = None
+    queried_at: float = 0.0
+    backoff_until: float = 0.0
+    unsettled: bool = False
+
+    @property
+    def incarnation(self) -> str:
+        """The agent's incarnation."""
+        return self.status.address.incarnation
+
+
+class PeerController:
+    """Keeps the peers and chooses among them."""
+
+    def __init__(
+        self,
+        own: PeerStatus,
+        clock: Clock,
+        is_zone_in_service: Callable[[str], bool],
+    ) -> None:
+        self.clock = clock
+        self.is_zone_in_service = is_zone_in_service
+        self.own = Peer(own)
+        self.own_ejected = False
+        self.own_leaving = False
+        self.rng = random.Random(own.address.incarnation)
+        self.peers: dict[str, Peer] = {self.own.incarnation: self.own}
+
+    def find(self, incarnation: str) -> Peer | None:
+        """Returns a peer by its incarnation."""
+        return self.peers.get(incarnation)
+
+    def list_all(self) -> list[Peer]:
+        """Returns all peers, this agent included."""
+        return list(self.peers.values())
+
+    def remove(self, peer: Peer) -> None:
+        """Forgets a peer whose process has ended."""
+        if peer is not self.own:
+            self.peers.pop(peer.incarnation, None)
+
+    def apply_list(self, statuses: list[PeerStatus]) -> None:
+        """Takes the peers that an entry lists; drops those long unlisted."""
+        now = self.clock()
+        for status in statuses:
+            if status.address == self.own.status.address:
+                continue
+            peer = self.peers.setdefault(status.address.incarnation, Peer(status))
+            peer.status = status
+            peer.listed_at = now
+            total = status.load.running + status.load.queued
+            peer.reported = max(0, total - len(peer.outstanding))
+        for peer in self.list_all():
+            unlisted = now - peer.listed_at > UNLISTED_S
+            if unlisted and not peer.outstanding and not peer.unsettled:
+                self.remove(peer)
+
+    def record_reports(self, peer: Peer, message: TaskReports) -> None:
+        """Takes the load that reports carry."""
+        peer.heard_at = self.clock()
+        peer.asked_at = None
+        ended = sum(report.state != "running" for report in message.reports)
+        own = max(0, len(peer.outstanding) - ended)
+        peer.reported = max(0, message.running + message.queued - own)
+
+    def back_off(self, peer: Peer, seconds: float) -> None:
+        """Sends a peer nothing for a while."""
+        peer.backoff_until = self.clock() + seconds
+
+    def has_any(self, service: str) -> bool:
+        """Returns whether any peer in service runs the service, full or not."""
+        return any(
+            service in peer.status.services
+            and self.is_zone_in_service(peer.status.availability_zone)
+            for peer in self.peers.values()
+        )
+
+    def choose(self, service: str) -> Peer | None:
+        """Returns the peer for the next task of a service, or None if all are full."""
+        now = self.clock()
+        candidates = [
+            self._describe(peer)
+            for peer in self.peers.values()
+            if self._may_get_work(peer, service, now)
+        ]
+        own = self.own.status
+        chosen = choose_executor(
+            candidates,
+            own.address.incarnation,
+            own.availability_zone,
+            QUEUE_ALLOWANCE,
+            self.rng,
+        )
+        return None if chosen is None else self.peers[chosen]
+
+    def _describe(self, peer: Peer) -> Candidate:
+        status = peer.status
+        return Candidate(
+            incarnation=status.address.incarnation,
+            availability_zone=status.availability_zone,
+            slots=status.slots,
+            outstanding=len(peer.outstanding),
+            reported=peer.reported,
+            ejected=peer is self.own and self.own_ejected,
+            leaving=peer is self.own and self.own_leaving,
+            in_service=self.is_zone_in_service(status.availability_zone),
+        )
+
+    def _may_get_work(self, peer: Peer, service: str, now: float) -> bool:
+        if service not in peer.status.services or now < peer.backoff_until:
+            return False
+        if peer.asked_at is not None:
+            return False
+        return peer is self.own or now - peer.listed_at <= UNLISTED_S
--- /dev/null
+++ b/src/jackdawkeel/entry/daemon.py
@@ -0,0 +1,222 @@
+"""Wires the controllers of an entry to its loop, link, HTTP server and store."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from concurrent.futures import ThreadPoolExecutor
+from typing import TYPE_CHECKING
+
+from ..clock import read_boot_clock
+from ..controllers.configuration import ConfigurationController
+from ..controllers.job_keys import SharedLease
+from ..controllers.roster import RosterController
+from ..events import EventName
+from ..job_id import mint_incarnation
+from ..link.node import LinkNode
+from ..logs import EventLog
+from ..messages import PeerAddress
+from ..metrics import CounterName
+from ..metrics import HistogramName
+from ..metrics import Metrics
+from ..store.etcd import EtcdStore
+from .heartbeats import answer_heartbeat
+from .http_server import HttpResponse
+from .http_server import HttpServer
+from .job_forwarder import JobForwarder
+from .metrics_report import render_metrics
+from .other_entries import OtherEntries
+from .routes import answer_request
+from .routes import find_route
+from .routing import route_message
+from .store_sync import StoreSync
+
+
+if TYPE_CHECKING:
+    from ..messages import Heartbeat
+    from ..messages import Message
+    from ..settings import EntrySettings
+    from .http_server import HttpRequest
+
+
+TICK_S = 0.1
+ROSTER_TICK_S = 1.0
+PROBE_S = 1.0
+STORE_CALL_THREADS = 8
+DRAIN_NOTICE_S = 1.0
+DRAIN_POLL_S = 0.05
+
+
+class Entry:
+    """One entry process: state on the loop, HTTP and store calls on threads."""
+
+    def __init__(self, settings: EntrySettings, log: EventLog) -> None:
+        self.settings = settings
+        self.log = log
+        self.clock = read_boot_clock
+        self.loop = asyncio.get_running_loop()
+        self.address = PeerAddress(log.incarnation, settings.advertise)
+        self.configuration = ConfigurationController(self.clock())
+        self.roster = RosterController(
+            settings.availability_zone, self.clock, self.is_zone_in_service
+        )
+        self.node = LinkNode(
+            listen=settings.link,
+            address=self.address,
+            clock=self.clock,
+            log=log,
+            deliver=self.deliver,
+        )
+        self.forwarder = JobForwarder(
+            clock=self.clock,
+            send=self.node.send,
+            redial=self.node.redial,
+            adjust_forwarded=self._adjust_forwarded,
+        )
+        self.others = OtherEntries(
+            own=self.address,
+            clock=self.clock,
+            configuration=self.configuration,
+            roster=self.roster,
+            send=self.node.send,
+            redial=self.node.redial,
+            apply=self._apply_configuration,
+        )
+        self.store = EtcdStore(settings.store)
+        self.store_threads = ThreadPoolExecutor(STORE_CALL_THREADS, "store-call")
+        self.sync = StoreSync(
+            store=self.store,
+            configuration=self.configuration,
+            address=self.address,
+            clock=self.clock,
+            log=log,
+            on_failed_read=self.others.probe,
+        )
+        self.metrics = Metrics({"availability_zone": settings.availability_zone})
+        self.key_lease = SharedLease()
+        self.in_flight = 0
+        self.draining = False
+        self.stopped = asyncio.Event()
+
+    def is_zone_in_service(self, availability_zone: str) -> bool:
+        """Returns whether operators have the availability zone in service."""
+        zones = self.configuration.document.availability_zones
+        record = zones.get(availability_zone)
+        return record is None or record.state.in_service
+
+    def deliver(self, sender: PeerAddress, message: Message) -> None:
+        """Takes one message from the link."""
+        route_message(self, sender, message)
+
+    def handle_heartbeat(self, sender: PeerAddress, heartbeat: Heartbeat) -> None:
+        """Records an agent's heartbeat and replies."""
+        self.node.send(sender, answer_heartbeat(self, heartbeat))
+
+    def handle_gone(self, incarnation: str) -> None:
+        """Takes it that a process has ended."""
+        self.roster.mark_gone(incarnation)
+        self.forwarder.handle_gone(incarnation)
+
+    def render_metrics(self) -> str:
+        """Returns the metrics as text."""
+        return render_metrics(self)
+
+    def handle_http(self, request: HttpRequest) -> HttpResponse:
+        """Answers a request; called on the threads of the HTTP server."""
+        waiting = asyncio.run_coroutine_threadsafe(self._answer(request), self.loop)
+        return waiting.result()
+
+    async def _answer(self, request: HttpRequest) -> HttpResponse:
+        self.in_flight += 1
+        started_at = self.clock()
+        try:
+            response = await answer_request(self, request)
+        finally:
+            self.in_flight -= 1
+        route = f"{request.method} /{find_route(request.path).name}"
+        self.metrics.count(CounterName.HTTP_REQUESTS, route)
+        self.metrics.observe(HistogramName.REQUEST, self.clock() - started_at, route)
+        if not self.draining:
+            return response
+        return HttpResponse(
+            response.status,
+            response.body,
+            response.content_type,
+            response.retry_after_ms,
+            close=True,
+        )
+
+    async def run(self) -> None:
+        """Serves until told to stop and all requests in flight are answered."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(number, self.stop)
+        server = HttpServer(
+            host=self.settings.listen_host,
+            port=self.settings.listen_port,
+            threads=self.settings.threads,
+            handle=self.handle_http,
+        )
+        with self.store, self.node, self.sync:
+            await self.loop.run_in_executor(None, server.__enter__)
+            tasks = [
+                asyncio.create_task(self._tick_forever()),
+                asyncio.create_task(self._probe_forever()),
+            ]
+            await self.stopped.wait()
+            await self._drain()
+            await self.loop.run_in_executor(None, server.__exit__)
+            for task in tasks:
+                task.cancel()
+        self.store_threads.shutdown(wait=False, cancel_futures=True)
+
+    def stop(self) -> None:
+        """Begins the drain; a second call changes nothing."""
+        if self.draining:
+            return
+        self.draining = True
+        self.log.record(EventName.DRAINING)
+        self.stopped.set()
+
+    async def _drain(self) -> None:
+        await asyncio.sleep(DRAIN_NOTICE_S)
+        while self.in_flight:
+            await asyncio.sleep(DRAIN_POLL_S)
+
+    async def _tick_forever(self) -> None:
+        roster_ticked_at = self.clock()
+        while True:
+            await asyncio.sleep(TICK_S)
+            now = self.clock()
+            self.configuration.note_clock(now)
+            self.others.set_addresses(self.sync.entries)
+            self.forwarder.tick()
+            if now - roster_ticked_at >= ROSTER_TICK_S:
+                roster_ticked_at = now
+                self.roster.tick()
+                self.node.close_idle_links()
+
+    async def _probe_forever(self) -> None:
+        while True:
+            self.others.probe()
+            await asyncio.sleep(PROBE_S)
+
+    def _apply_configuration(self, revision: int, encoded: bytes) -> None:
+        self.sync.apply(revision, encoded)
+
+    def _adjust_forwarded(self, incarnation: str, change: int) -> None:
+        view = self.roster.find(incarnation)
+        if view is not None:
+            view.forwarded += change
+
+
+def run_entry(settings: EntrySettings) -> int:
+    """Runs an entry until it is told to stop; returns the exit code."""
+    log = EventLog("entry", mint_incarnation(), settings.availability_zone)
+    log.record(EventName.PROCESS_STARTED, link=settings.link)
+    asyncio.run(_run(settings, log))
+    log.record(EventName.PROCESS_STOPPED)
+    return 0
+
+
+async def _run(settings: EntrySettings, log: EventLog) -> None:
+    await Entry(settings, log).run()
--- /dev/null
+++ b/src/jackdawkeel/entry/filters.py
@@ -0,0 +1,73 @@
+"""The filter chain that a job passes before it goes to a home."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ..errors import DispatchError
+from ..errors import ErrorKind
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..job_request import JobRequest
+    from .daemon import Entry
+
+    JobFilter = Callable[["Entry", "JobCall"], DispatchError | None]
+
+
+@dataclass(frozen=True, slots=True)
+class JobCall:
+    """A valid job on its way through the chain.
+
+    Attributes:
+        request: The job.
+        has_id: Whether the caller brought the id.
+    """
+
+    request: JobRequest
+    has_id: bool
+
+
+def check_ready(entry: Entry, call: JobCall) -> DispatchError | None:
+    """Refuses everything before the entry has a confirmed configuration."""
+    if entry.configuration.is_ready():
+        return None
+    kind = ErrorKind.ENTRY_NOT_READY if call.has_id else ErrorKind.NOT_READY
+    return DispatchError(kind, "this entry has not read the configuration yet")
+
+
+def check_service(entry: Entry, call: JobCall) -> DispatchError | None:
+    """Refuses services that no ticket has set up, or that are disabled."""
+    name = call.request.service
+    record = entry.configuration.document.services.get(name)
+    if record is None:
+        return DispatchError(ErrorKind.NO_SUCH_SERVICE, f"there is no service {name}")
+    if not record.state.enabled:
+        return DispatchError(ErrorKind.NO_TARGET, f"service {name} is disabled")
+    return None
+
+
+def check_target(entry: Entry, call: JobCall) -> DispatchError | None:
+    """Refuses services that have no target in service."""
+    name = call.request.service
+    if entry.roster.has_target(name):
+        return None
+    text = f"service {name} has no target in service"
+    return DispatchError(ErrorKind.NO_TARGET, text)
+
+
+JOB_FILTERS: tuple[JobFilter, ...] = (check_ready, check_service, check_target)
+
+ENTRY_ONLY_KINDS = frozenset({ErrorKind.ENTRY_NOT_READY, ErrorKind.NO_SUCH_SERVICE})
+
+
+def find_refusal(entry: Entry, call: JobCall) -> DispatchError | None:
+    """Runs the chain; returns the first refusal, or None."""
+    for job_filter in JOB_FILTERS:
+        refusal = job_filter(entry, call)
+        if refusal is not None:
+            return refusal
+    return None
--- /dev/null
+++ b/src/jackdawkeel/entry/heartbeats.py
@@ -0,0 +1,41 @@
+"""What an entry replies to an agent's heartbeat."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..events import EventName
+from ..messages import HeartbeatReply
+
+
+if TYPE_CHECKING:
+    from ..messages import AgentConfiguration
+    from ..messages import Heartbeat
+    from .daemon import Entry
+
+
+def answer_heartbeat(entry: Entry, heartbeat: Heartbeat) -> HeartbeatReply:
+    """Records the heartbeat and builds the reply with lease and changes."""
+    agent = heartbeat.agent
+    if entry.roster.handle_heartbeat(heartbeat):
+        entry.log.record(
+            EventName.AGENT_HEARD,
+            agent=agent.address.incarnation,
+            zone=agent.availability_zone,
+        )
+    view = entry.roster.agents[agent.address.incarnation]
+    return HeartbeatReply(
+        sent_at=heartbeat.sent_at,
+        lease_ms=entry.configuration.lease_ms(entry.clock()),
+        revision=entry.configuration.revision,
+        configuration=_find_change(entry, heartbeat),
+        entries=[entry.address, *entry.others.addresses],
+        peers=entry.roster.list_peers(view),
+        ejected=agent.address.incarnation in entry.roster.ejected,
+    )
+
+
+def _find_change(entry: Entry, heartbeat: Heartbeat) -> AgentConfiguration | None:
+    if heartbeat.revision >= entry.configuration.revision:
+        return None
+    return entry.configuration.agent_configuration(heartbeat.agent.services)
--- /dev/null
+++ b/src/jackdawkeel/entry/http_server.py
@@ -0,0 +1,169 @@
+"""The HTTP server of an entry, on CherryPy.
+
+Its threads read a request, hand it over, wait and write the response; they touch no
+state of the dispatcher.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import Self
+
+import cherrypy
+
+from ..answer import answer_error
+from ..answer import encode_answer
+from ..errors import ERROR_TABLE
+from ..errors import DispatchError
+from ..errors import ErrorKind
+from ..job_request import MAX_BODY_BYTES
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+JSON_TYPE = "application/json"
+TEXT_TYPE = "text/plain; charset=utf-8"
+ACCEPT_QUEUE = 1024
+SOCKET_TIMEOUT_S = 30
+MS_PER_S = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class HttpRequest:
+    """A request as the routes see it."""
+
+    method: str
+    path: str
+    body: bytes
+    idempotency_key: str | None
+
+
+@dataclass(frozen=True, slots=True)
+class HttpResponse:
+    """A response.
+
+    Attributes:
+        status: The HTTP status.
+        body: The body.
+        content_type: Its media type.
+        retry_after_ms: Sent as Retry-After in whole seconds, rounded up.
+        close: Whether the connection is closed after it.
+    """
+
+    status: int
+    body: bytes
+    content_type: str = JSON_TYPE
+    retry_after_ms: int | None = None
+    close: bool = False
+
+
+class HttpServer:
+    """Owns CherryPy's engine and server; there can be one per process."""
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        port: int,
+        threads: int,
+        handle: Callable[[HttpRequest], HttpResponse],
+    ) -> None:
+        """Describes the server; it listens from entering it.
+
+        Args:
+            host: IP to listen on.
+            port: Port to listen on.
+            threads: Requests that are handled at once.
+            handle: Answers a request; called on the server's threads.
+        """
+        self.host = host
+        self.port = port
+        self.threads = threads
+        self.handle = handle
+
+    def __enter__(self) -> Self:
+        cherrypy.config.update(
+            {
+                "environment": "embedded",
+                "engine.autoreload.on": False,
+                "log.screen": False,
+                "server.socket_host": self.host,
+                "server.socket_port": self.port,
+                "server.thread_pool": self.threads,
+                "server.socket_queue_size": ACCEPT_QUEUE,
+                "server.socket_timeout": SOCKET_TIMEOUT_S,
+                "server.max_request_body_size": MAX_BODY_BYTES,
+                "error_page.default": _render_error,
+                "request.process_request_body": False,
+                "tools.trailing_slash.on": False,
+            }
+        )
+        cherrypy.server.subscribe()
+        root = _Root(self.handle)
+        cherrypy.tree.mount(root, "/", {"/": {"request.dispatch": root.dispatch}})
+        cherrypy.engine.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        cherrypy.engine.exit()
+
+
+class _Root:
+    """Hands each request to one handler, whatever its path."""
+
+    def __init__(self, handle: Callable[[HttpRequest], HttpResponse]) -> None:
+        self.handle = handle
+
+    def dispatch(self, _path: str) -> None:
+        """Makes the handler of this class serve every path."""
+        cherrypy.serving.request.config = cherrypy.config.copy()
+        cherrypy.serving.request.handler = self.respond
+
+    def respond(self) -> bytes:
+        """Reads the request, hands it over and writes the response."""
+        request = cherrypy.serving.request
+        answered = self.handle(
+            HttpRequest(
+                method=request.method,
+                path=request.path_info,
+                body=_read_body(request),
+                idempotency_key=request.headers.get("Idempotency-Key"),
+            )
+        )
+        headers = cherrypy.serving.response.headers
+        cherrypy.serving.response.status = answered.status
+        headers["Content-Type"] = answered.content_type
+        if answered.retry_after_ms is not None:
+            headers["Retry-After"] = str(-(-answered.retry_after_ms // MS_PER_S))
+        if answered.close:
+            headers["Connection"] = "close"
+        return answered.body
+
+
+def _read_body(request: cherrypy.Request) -> bytes:
+    if request.method not in ("POST", "PUT", "DELETE", "PATCH"):
+        return b""
+    body: bytes = request.rfile.read()
+    return body
+
+
+def _render_error(status: str, message: str, **_: object) -> bytes:
+    code = int(status.split(" ")[0])
+    kind = _KIND_BY_STATUS.get(code, ErrorKind.BAD_REQUEST)
+    if code >= 500:
+        kind = ErrorKind.INTERNAL
+    cherrypy.serving.response.headers["Content-Type"] = JSON_TYPE
+    return encode_answer(answer_error(None, DispatchError(kind, message)))
+
+
+_KIND_BY_STATUS = {
+    ERROR_TABLE[kind].status: kind
+    for kind in (
+        ErrorKind.BODY_TOO_LARGE,
+        ErrorKind.NO_SUCH_PATH,
+        ErrorKind.METHOD_NOT_ALLOWED,
+    )
+}
--- /dev/null
+++ b/src/jackdawkeel/entry/job_forwarder.py
@@ -0,0 +1,200 @@
+"""Carries jobs from the entry to their homes and the answers back."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from ..answer import Answer
+from ..answer import answer_error
+from ..answer import answer_running
+from ..answer import decode_answer
+from ..errors import DispatchError
+from ..errors import ErrorKind
+from ..messages import CancelJob
+from ..messages import JobQuery
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..clock import Clock
+    from ..messages import JobAnswer
+    from ..messages import JobNews
+    from ..messages import Message
+    from ..messages import PeerAddress
+    from ..messages import SubmitJob
+
+
+ASK_AFTER_S = 1.0
+RESEND_AFTER_S = 0.8
+SILENT_AFTER_S = 6.0
+MAX_CLOCK_GAP_S = 1.0
+
+
+@dataclass(slots=True, eq=False)
+class PendingCall:
+    """A caller's request that waits for word from a home.
+
+    Attributes:
+        message: What was sent: a submission, query or cancellation.
+        home: The home.
+        answer: Resolves with the answer.
+        heard_at: When the home last said that it runs the job, in seconds.
+        asked_at: When the entry last sent something about it.
+        silent_since: Since when the home owes a reply, or None.
+    """
+
+    message: SubmitJob | JobQuery | CancelJob
+    home: PeerAddress
+    answer: asyncio.Future[Answer]
+    heard_at: float
+    asked_at: float
+    silent_since: float | None = None
+
+
+@dataclass(slots=True)
+class PendingCalls:
+    """The calls about one job id."""
+
+    calls: list[PendingCall] = field(default_factory=list)
+
+
+class JobForwarder:
+    """Keeps the calls that wait and asks homes that are silent."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        send: Callable[[PeerAddress, Message], None],
+        redial: Callable[[str], None],
+        adjust_forwarded: Callable[[str, int], None],
+    ) -> None:
+        """Describes the forwarder.
+
+        Args:
+            clock: Clock in seconds.
+            send: Sends a message to a process.
+            redial: Replaces the connection to a link address.
+            adjust_forwarded: Adds to the count of jobs that wait at a home.
+        """
+        self.clock = clock
+        self.send = send
+        self.redial = redial
+        self.adjust_forwarded = adjust_forwarded
+        self.pending: dict[str, PendingCalls] = {}
+        self.ticked_at = clock()
+
+    async def call(
+        self, home: PeerAddress, message: SubmitJob | JobQuery | CancelJob
+    ) -> Answer:
+        """Sends a message about a job to its home and waits for the answer."""
+        now = self.clock()
+        future: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+        pending = PendingCall(message, home, future, now, now)
+        if not _is_submission(message):
+            pending.silent_since = now
+        self.pending.setdefault(message.job_id, PendingCalls()).calls.append(pending)
+        self.adjust_forwarded(home.incarnation, 1)
+        self.send(home, message)
+        try:
+            return await future
+        finally:
+            self._forget(pending)
+
+    def handle_answer(self, message: JobAnswer) -> None:
+        """Gives an answer to the calls that it is for."""
+        answer = decode_answer(message.answer)
+        is_conflict = (
+            answer.error is not None and answer.error.kind is ErrorKind.CONFLICT
+        )
+        for call in self._list_calls(message.job_id):
+            digest = getattr(call.message, "digest", None)
+            if digest is None and is_conflict:
+                continue
+            if digest is None or digest == message.digest:
+                _resolve(call, answer)
+
+    def handle_news(self, message: JobNews) -> None:
+        """Takes word that a home runs a job, or has never seen it."""
+        now = self.clock()
+        for call in self._list_calls(message.job_id):
+            call.heard_at = now
+            call.silent_since = None
+            if isinstance(call.message, JobQuery):
+                _resolve(call, _answer_query(message))
+            elif not message.running:
+                call.asked_at = now
+                self.send(call.home, call.message)
+
+    def handle_gone(self, incarnation: str) -> None:
+        """Answers the calls whose home has ended; nobody can tell what became."""
+        message = "the home of this id has ended; the job may have run"
+        error = DispatchError(ErrorKind.HOME_GONE, message)
+        for call in self._list_all():
+            if call.home.incarnation == incarnation:
+                _resolve(call, answer_error(call.message.job_id, error))
+
+    def tick(self) -> None:
+        """Asks homes that are silent, over a new connection the second time."""
+        now = self.clock()
+        gap = now - self.ticked_at
+        self.ticked_at = now
+        for call in self._list_all():
+            if gap > MAX_CLOCK_GAP_S:
+                call.heard_at += gap
+                call.silent_since = None
+            self._tend(call, now)
+
+    def _tend(self, call: PendingCall, now: float) -> None:
+        if call.silent_since is None:
+            if now - call.heard_at >= ASK_AFTER_S:
+                call.silent_since = now
+                call.asked_at = now
+                self.send(call.home, JobQuery(call.message.job_id))
+            return
+        if now - call.silent_since >= SILENT_AFTER_S:
+            message = "the home of this id does not reply; the job may be running"
+            error = DispatchError(ErrorKind.HOME_SILENT, message)
+            _resolve(call, answer_error(call.message.job_id, error))
+        elif now - call.asked_at >= RESEND_AFTER_S:
+            call.asked_at = now
+            self.redial(call.home.link)
+            self.send(call.home, call.message)
+            if _is_submission(call.message):
+                self.send(call.home, JobQuery(call.message.job_id))
+
+    def _list_calls(self, job_id: str) -> list[PendingCall]:
+        calls = self.pending.get(job_id)
+        return [] if calls is None else list(calls.calls)
+
+    def _list_all(self) -> list[PendingCall]:
+        return [call for calls in self.pending.values() for call in calls.calls]
+
+    def _forget(self, call: PendingCall) -> None:
+        self.adjust_forwarded(call.home.incarnation, -1)
+        calls = self.pending[call.message.job_id]
+        calls.calls.remove(call)
+        if not calls.calls:
+            del self.pending[call.message.job_id]
+
+
+def _is_submission(message: SubmitJob | JobQuery | CancelJob) -> bool:
+    return not isinstance(message, JobQuery | CancelJob)
+
+
+def _resolve(call: PendingCall, answer: Answer) -> None:
+    if not call.answer.done():
+        call.answer.set_result(answer)
+
+
+def _answer_query(message: JobNews) -> Answer:
+    if message.running:
+        return answer_running(message.job_id)
+    error = DispatchError(
+        ErrorKind.NOT_SUBMITTED, "no job was submitted under this id so far"
+    )
+    return answer_error(message.job_id, error)
--- /dev/null
+++ b/src/jackdawkeel/entry/jobs.py
@@ -0,0 +1,216 @@
+"""What an entry does for callers: ids, jobs, status and cancellation."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+from result import Err
+from result import Ok
+from result import Result
+
+from ..answer import Answer
+from ..answer import answer_error
+from ..controllers.job_keys import claim_key
+from ..errors import DispatchError
+from ..errors import ErrorKind
+from ..job_id import mint_job_id
+from ..job_id import parse_job_id
+from ..job_request import JobRequest
+from ..job_request import parse_job_request
+from ..messages import CancelJob
+from ..messages import JobQuery
+from ..messages import PeerAddress
+from ..messages import Refusal
+from ..messages import SubmitJob
+from .filters import ENTRY_ONLY_KINDS
+from .filters import JobCall
+from .filters import find_refusal
+
+
+if TYPE_CHECKING:
+    from .daemon import Entry
+
+
+MAX_IDS = 10_000
+MAX_HOMES_PER_BATCH = 16
+MAX_KEY_LENGTH = 200
+MAX_OWN_ATTEMPTS = 3
+KEY_SCOPE = ""
+RETRIED_KINDS = frozenset(
+    {ErrorKind.SHUTTING_DOWN, ErrorKind.NOT_READY, ErrorKind.OVERLOADED}
+)
+
+
+class IdsModel(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The body of a request for ids."""
+
+    service: str
+    count: int
+
+
+class IdsAnswer(msgspec.Struct, frozen=True):
+    """Ids that were minted."""
+
+    ids: list[str]
+
+
+def mint_ids(entry: Entry, body: bytes) -> Result[IdsAnswer, DispatchError]:
+    """Mints job ids, spread over several homes."""
+    try:
+        model = msgspec.json.decode(body, type=IdsModel)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        text = f"the body is not a valid request for ids: {error}"
+        return Err(DispatchError(ErrorKind.BAD_REQUEST, text))
+    if not 1 <= model.count <= MAX_IDS:
+        text = f"count must be from 1 to {MAX_IDS}"
+        return Err(DispatchError(ErrorKind.BAD_REQUEST, text))
+    request = JobRequest(model.service, [], None, 1, False, "")
+    refusal = find_refusal(entry, JobCall(request, has_id=False))
+    if refusal is not None:
+        return Err(refusal)
+    homes = [
+        home
+        for _ in range(min(model.count, MAX_HOMES_PER_BATCH))
+        if (home := entry.roster.choose_home(model.service)) is not None
+    ]
+    if not homes:
+        return Err(_no_target(model.service))
+    ids = []
+    for number in range(model.count):
+        home = homes[number % len(homes)]
+        job_id = mint_job_id(home.address.incarnation, home.heartbeat.era)
+        ids.append(str(job_id))
+    return Ok(IdsAnswer(ids))
+
+
+async def put_job(entry: Entry, job_id_text: str, body: bytes) -> Answer:
+    """Runs a job under an id that the caller brought."""
+    parsed_id = parse_job_id(job_id_text)
+    if parsed_id.is_err():
+        return answer_error(None, parsed_id.unwrap_err())
+    parsed = parse_job_request(body)
+    if parsed.is_err():
+        return answer_error(None, parsed.unwrap_err())
+    request = parsed.unwrap()
+    refusal = find_refusal(entry, JobCall(request, has_id=True))
+    if refusal is not None and refusal.kind in ENTRY_ONLY_KINDS:
+        is_about_id = refusal.kind is ErrorKind.ENTRY_NOT_READY
+        return answer_error(job_id_text if is_about_id else None, refusal)
+    return await _submit(entry, job_id_text, request, refusal)
+
+
+async def post_job(entry: Entry, body: bytes, key: str | None) -> Answer:
+    """Runs a job under a new id, or under the id that its key has claimed."""
+    parsed = parse_job_request(body)
+    if parsed.is_err():
+        return answer_error(None, parsed.unwrap_err())
+    request = parsed.unwrap()
+    refusal = find_refusal(entry, JobCall(request, has_id=False))
+    if key is not None:
+        return await _post_with_key(entry, request, key, refusal)
+    if refusal is not None:
+        return answer_error(None, refusal)
+    answer = answer_error(None, _no_target(request.service))
+    for _ in range(MAX_OWN_ATTEMPTS):
+        home = entry.roster.choose_home(request.service)
+        if home is None:
+            return answer
+        job_id = mint_job_id(home.address.incarnation, home.heartbeat.era)
+        answer = await _submit(entry, str(job_id), request, None)
+        if answer.error is None or answer.error.kind not in RETRIED_KINDS:
+            return answer
+    return answer
+
+
+async def get_job(entry: Entry, job_id: str) -> Answer:
+    """Returns the answer of a job, or that it is running."""
+    return await _ask_home(entry, job_id, JobQuery(job_id))
+
+
+async def cancel_job(entry: Entry, job_id: str) -> Answer:
+    """Cancels a job; what has not started never will."""
+    return await _ask_home(entry, job_id, CancelJob(job_id))
+
+
+async def _post_with_key(
+    entry: Entry, request: JobRequest, key: str, refusal: DispatchError | None
+) -> Answer:
+    if not 1 <= len(key) <= MAX_KEY_LENGTH:
+        text = f"Idempotency-Key must have 1 to {MAX_KEY_LENGTH} characters"
+        return answer_error(None, DispatchError(ErrorKind.BAD_REQUEST, text))
+    if refusal is not None:
+        # The key may have an id from an earlier request, which may have run.
+        kind = refusal.kind
+        if kind is ErrorKind.NO_SUCH_SERVICE:
+            return answer_error(None, refusal)
+        refusal = DispatchError(ErrorKind.ENTRY_NOT_READY, refusal.message)
+        return answer_error(None, refusal)
+    home = entry.roster.choose_home(request.service)
+    if home is None:
+        return answer_error(None, _no_target(request.service))
+    minted = mint_job_id(home.address.incarnation, home.heartbeat.era)
+    claimed = await entry.loop.run_in_executor(
+        entry.store_threads,
+        claim_key,
+        entry.store,
+        entry.key_lease,
+        KEY_SCOPE,
+        key,
+        str(minted),
+    )
+    if claimed.is_err():
+        return answer_error(None, claimed.unwrap_err())
+    return await _submit(entry, claimed.unwrap(), request, None)
+
+
+async def _submit(
+    entry: Entry, job_id: str, request: JobRequest, refusal: DispatchError | None
+) -> Answer:
+    message = SubmitJob(
+        job_id=job_id,
+        digest=request.digest,
+        service=request.service,
+        payloads=request.payloads,
+        idempotent=request.idempotent,
+        deadline_ms=request.deadline_ms,
+        refusal=_encode_refusal(refusal),
+    )
+    return await _ask_home(entry, job_id, message)
+
+
+async def _ask_home(
+    entry: Entry, job_id: str, message: SubmitJob | JobQuery | CancelJob
+) -> Answer:
+    parsed = parse_job_id(job_id)
+    if parsed.is_err():
+        return answer_error(None, parsed.unwrap_err())
+    incarnation = parsed.unwrap().incarnation
+    home = await _find_home(entry, incarnation)
+    if home is not None:
+        return await entry.forwarder.call(home, message)
+    if entry.roster.is_gone(incarnation):
+        text = "the home of this id has ended; the job may have run"
+        return answer_error(job_id, DispatchError(ErrorKind.HOME_GONE, text))
+    text = "no entry hears the home of this id; the job may have run"
+    return answer_error(job_id, DispatchError(ErrorKind.HOME_SILENT, text))
+
+
+async def _find_home(entry: Entry, incarnation: str) -> PeerAddress | None:
+    view = entry.roster.find(incarnation)
+    if view is not None:
+        return view.address
+    if entry.roster.is_gone(incarnation):
+        return None
+    return await entry.others.find_home(incarnation)
+
+
+def _encode_refusal(refusal: DispatchError | None) -> Refusal | None:
+    if refusal is None:
+        return None
+    return Refusal(refusal.kind.value, refusal.message, refusal.retry_after_ms)
+
+
+def _no_target(service: str) -> DispatchError:
+    text = f"service {service} has no target in service"
+    return DispatchError(ErrorKind.NO_TARGET, text)
--- /dev/null
+++ b/src/jackdawkeel/entry/metrics_report.py
@@ -0,0 +1,48 @@
+"""The metrics of an entry, with the message counts that agents report."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from ..metrics import CounterName
+from ..metrics import GaugeName
+
+
+if TYPE_CHECKING:
+    from .daemon import Entry
+
+
+def render_metrics(entry: Entry) -> str:
+    """Takes over the counts that are kept elsewhere and renders all metrics."""
+    metrics = entry.metrics
+    node = entry.node
+    metrics.replace_counts(CounterName.MESSAGES_SENT, node.sent)
+    metrics.replace_counts(CounterName.MESSAGES_RECEIVED, node.received)
+    metrics.replace_counts(CounterName.ENVELOPES_SENT, _count_envelopes(entry))
+    metrics.replace_counts(CounterName.TASKS, _count_tasks(entry))
+    metrics.replace_counts(CounterName.STORE_CALLS, _count_store_calls(entry))
+    metrics.set_gauge(GaugeName.AGENTS, len(entry.roster.agents))
+    metrics.set_gauge(GaugeName.ENTRIES, len(entry.others.addresses) + 1)
+    metrics.set_gauge(GaugeName.REQUESTS_IN_FLIGHT, entry.in_flight)
+    metrics.set_gauge(GaugeName.CONFIGURATION_REVISION, entry.configuration.revision)
+    return metrics.render_text()
+
+
+def _count_envelopes(entry: Entry) -> Counter[str]:
+    counts = Counter({entry.address.incarnation: entry.node.envelopes_sent})
+    for incarnation, view in entry.roster.agents.items():
+        counts[incarnation] = view.heartbeat.load.envelopes_sent
+    return counts
+
+
+def _count_tasks(entry: Entry) -> Counter[str]:
+    counts: Counter[str] = Counter()
+    for view in entry.roster.agents.values():
+        counts["done"] += view.heartbeat.load.completed
+        counts["failed"] += view.heartbeat.load.failed
+    return counts
+
+
+def _count_store_calls(entry: Entry) -> Counter[str]:
+    return Counter({kind.value: n for kind, n in entry.store.calls.read().items()})
--- /dev/null
+++ b/src/jackdawkeel/entry/other_entries.py
@@ -0,0 +1,188 @@
+"""What an entry asks the other entries."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from ..messages import AgentsQuery
+from ..messages import AgentsReply
+from ..messages import EntryProbe
+from ..messages import EntryProbeReply
+from ..messages import FindHome
+from ..messages import HomeFound
+from ..messages import PeerAddress
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..clock import Clock
+    from ..controllers.configuration import ConfigurationController
+    from ..controllers.roster import RosterController
+    from ..messages import AgentSighting
+    from ..messages import Message
+
+
+ANSWER_WAIT_S = 0.5
+REDIAL_AFTER_S = 2.5
+
+
+class OtherEntries:
+    """Keeps the addresses of the other entries and the questions that are open."""
+
+    def __init__(
+        self,
+        *,
+        own: PeerAddress,
+        clock: Clock,
+        configuration: ConfigurationController,
+        roster: RosterController,
+        send: Callable[[PeerAddress, Message], None],
+        redial: Callable[[str], None],
+        apply: Callable[[int, bytes], None],
+    ) -> None:
+        """Describes the other entries.
+
+        Args:
+            own: This entry.
+            clock: Clock in seconds.
+            configuration: This entry's configuration.
+            roster: The agents that this entry hears.
+            send: Sends a message to a process.
+            redial: Replaces the connection to a link address.
+            apply: Applies a configuration if it is newer than the one in force.
+        """
+        self.apply = apply
+        self.own = own
+        self.clock = clock
+        self.configuration = configuration
+        self.roster = roster
+        self.send = send
+        self.redial = redial
+        self.addresses: list[PeerAddress] = []
+        self.replied_at: dict[str, float] = {}
+        self.finding: dict[str, list[asyncio.Future[PeerAddress | None]]] = {}
+        self.listing: dict[int, asyncio.Queue[AgentsReply]] = {}
+        self.next_query = 1
+
+    def set_addresses(self, addresses: list[PeerAddress]) -> None:
+        """Takes the live entries as the store lists them."""
+        self.addresses = [address for address in addresses if address != self.own]
+        known = {address.incarnation for address in self.addresses}
+        for incarnation in known:
+            self.replied_at.setdefault(incarnation, self.clock())
+        for incarnation in set(self.replied_at) - known:
+            del self.replied_at[incarnation]
+
+    def probe(self) -> None:
+        """Asks each other entry how lately it has reached the store."""
+        now = self.clock()
+        message = EntryProbe(now, self.configuration.revision, {})
+        for address in self.addresses:
+            if now - self.replied_at[address.incarnation] > REDIAL_AFTER_S:
+                self.replied_at[address.incarnation] = now
+                self.redial(address.link)
+            self.send(address, message)
+
+    def handle_probe(self, sender: PeerAddress, message: EntryProbe) -> None:
+        """Answers with this entry's configuration and when it was confirmed."""
+        configuration = self.configuration
+        is_newer = configuration.revision > message.revision
+        reply = EntryProbeReply(
+            sent_at=message.sent_at,
+            confirmed_age_ms=configuration.confirmed_age_ms(self.clock()),
+            revision=configuration.revision,
+            document=configuration.encoded if is_newer else b"",
+        )
+        self.send(sender, reply)
+
+    def handle_probe_reply(self, sender: PeerAddress, message: EntryProbeReply) -> None:
+        """Takes another entry's configuration and when the store confirmed it."""
+        self.replied_at[sender.incarnation] = self.clock()
+        if message.confirmed_age_ms < 0:
+            return
+        if message.document:
+            self.apply(message.revision, message.document)
+        self.configuration.record_peer_confirmation(
+            message.sent_at, message.confirmed_age_ms, message.revision
+        )
+
+    async def find_home(self, incarnation: str) -> PeerAddress | None:
+        """Asks where an incarnation listens; None if no entry hears it."""
+        if not self.addresses:
+            return None
+        future = asyncio.get_running_loop().create_future()
+        self.finding.setdefault(incarnation, []).append(future)
+        for address in self.addresses:
+            self.send(address, FindHome(incarnation))
+        try:
+            return await asyncio.wait_for(future, ANSWER_WAIT_S)
+        except TimeoutError:
+            return None
+        finally:
+            self._forget_finding(incarnation, future)
+
+    def handle_find_home(self, sender: PeerAddress, message: FindHome) -> None:
+        """Answers where an incarnation listens, if this entry hears it."""
+        view = self.roster.find(message.incarnation)
+        link = None if view is None else view.address.link
+        self.send(sender, HomeFound(message.incarnation, link))
+
+    def handle_home_found(self, message: HomeFound) -> None:
+        """Takes the first answer that names a link."""
+        if message.link is None:
+            return
+        address = PeerAddress(message.incarnation, message.link)
+        for future in self.finding.get(message.incarnation, []):
+            if not future.done():
+                future.set_result(address)
+
+    async def list_sightings(self) -> list[AgentSighting]:
+        """Returns the agents that this entry or any other hears, freshest first."""
+        sightings = self.roster.list_sightings()
+        replies = await self._ask_for_agents()
+        for reply in replies:
+            sightings.extend(reply.sightings)
+        sightings.sort(key=lambda sighting: sighting.heard_age_ms)
+        freshest: dict[str, AgentSighting] = {}
+        for sighting in sightings:
+            freshest.setdefault(sighting.agent.address.incarnation, sighting)
+        return list(freshest.values())
+
+    def handle_agents_query(self, sender: PeerAddress, message: AgentsQuery) -> None:
+        """Answers with the agents that this entry hears."""
+        self.send(sender, AgentsReply(message.query, self.roster.list_sightings()))
+
+    def handle_agents_reply(self, message: AgentsReply) -> None:
+        """Takes another entry's agents."""
+        queue = self.listing.get(message.query)
+        if queue is not None:
+            queue.put_nowait(message)
+
+    async def _ask_for_agents(self) -> list[AgentsReply]:
+        query = self.next_query
+        self.next_query += 1
+        queue: asyncio.Queue[AgentsReply] = asyncio.Queue()
+        self.listing[query] = queue
+        expected = len(self.addresses)
+        for address in self.addresses:
+            self.send(address, AgentsQuery(query))
+        replies: list[AgentsReply] = []
+        try:
+            async with asyncio.timeout(ANSWER_WAIT_S):
+                while len(replies) < expected:
+                    replies.append(await queue.get())
+        except TimeoutError:
+            pass
+        finally:
+            del self.listing[query]
+        return replies
+
+    def _forget_finding(
+        self, incarnation: str, future: asyncio.Future[PeerAddress | None]
+    ) -> None:
+        futures = self.finding[incarnation]
+        futures.remove(future)
+        if not futures:
+            del self.finding[incarnation]
--- /dev/null
+++ b/src/jackdawkeel/entry/routes.py
@@ -0,0 +1,143 @@
+"""Which handler answers which path of the public interface."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from ..answer import Answer
+from ..answer import answer_error
+from ..answer import answer_status
+from ..answer import encode_answer
+from ..errors import DispatchError
+from ..errors import ErrorKind
+from ..metrics import CounterName
+from .http_server import TEXT_TYPE
+from .http_server import HttpResponse
+from .jobs import cancel_job
+from .jobs import get_job
+from .jobs import mint_ids
+from .jobs import post_job
+from .jobs import put_job
+from .operators import get_ticket
+from .operators import put_ticket
+from .status_report import build_status
+
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from .daemon import Entry
+    from .http_server import HttpRequest
+
+    Handler = Callable[[Entry, HttpRequest, str], Awaitable[HttpResponse]]
+
+
+async def answer_request(entry: Entry, request: HttpRequest) -> HttpResponse:
+    """Routes a request by path and method."""
+    route = find_route(request.path)
+    handlers = ROUTES.get(route.name)
+    if handlers is None:
+        text = f"there is no path {request.path}"
+        return render_answer(
+            answer_error(None, DispatchError(ErrorKind.NO_SUCH_PATH, text))
+        )
+    handler = handlers.get(request.method)
+    if handler is None:
+        text = f"{request.path} has no method {request.method}"
+        return render_answer(
+            answer_error(None, DispatchError(ErrorKind.METHOD_NOT_ALLOWED, text))
+        )
+    return await handler(entry, request, route.argument)
+
+
+def render_answer(answer: Answer) -> HttpResponse:
+    """Renders an answer with its status and Retry-After."""
+    return HttpResponse(
+        status=answer_status(answer),
+        body=encode_answer(answer),
+        retry_after_ms=answer.retry_after_ms,
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """A path split into the name of its route and what it names."""
+
+    name: str
+    argument: str
+
+
+def find_route(path: str) -> Route:
+    """Finds the route of a path; its name may be one that does not exist."""
+    parts = path.strip("/").split("/")
+    if len(parts) == 3 and parts[0] == "v1" and parts[1] in ("jobs", "tickets"):
+        return Route(f"{parts[0]}/{parts[1]}/*", parts[2])
+    name = "/".join(parts)
+    return Route(name if name in ROUTES else "other", "")
+
+
+async def _post_ids(entry: Entry, request: HttpRequest, _: str) -> HttpResponse:
+    minted = mint_ids(entry, request.body)
+    if minted.is_err():
+        return render_answer(answer_error(None, minted.unwrap_err()))
+    return HttpResponse(200, msgspec.json.encode(minted.unwrap()))
+
+
+def _render_job(entry: Entry, answer: Answer) -> HttpResponse:
+    entry.metrics.count(CounterName.ANSWERS, answer.outcome.value)
+    return render_answer(answer)
+
+
+async def _post_job(entry: Entry, request: HttpRequest, _: str) -> HttpResponse:
+    return _render_job(
+        entry, await post_job(entry, request.body, request.idempotency_key)
+    )
+
+
+async def _put_job(entry: Entry, request: HttpRequest, job_id: str) -> HttpResponse:
+    return _render_job(entry, await put_job(entry, job_id, request.body))
+
+
+async def _get_job(entry: Entry, _: HttpRequest, job_id: str) -> HttpResponse:
+    return render_answer(await get_job(entry, job_id))
+
+
+async def _delete_job(entry: Entry, _: HttpRequest, job_id: str) -> HttpResponse:
+    return render_answer(await cancel_job(entry, job_id))
+
+
+async def _put_ticket(entry: Entry, request: HttpRequest, number: str) -> HttpResponse:
+    return await put_ticket(entry, number, request.body)
+
+
+async def _get_ticket(entry: Entry, _: HttpRequest, number: str) -> HttpResponse:
+    return await get_ticket(entry, number)
+
+
+async def _get_status(entry: Entry, _: HttpRequest, __: str) -> HttpResponse:
+    return HttpResponse(200, msgspec.json.encode(await build_status(entry)))
+
+
+async def _get_metrics(entry: Entry, _: HttpRequest, __: str) -> HttpResponse:
+    return HttpResponse(200, entry.render_metrics().encode(), TEXT_TYPE)
+
+
+async def _get_health(entry: Entry, _: HttpRequest, __: str) -> HttpResponse:
+    if entry.draining or not entry.configuration.is_ready():
+        return HttpResponse(503, b"not ready\n", TEXT_TYPE)
+    return HttpResponse(200, b"ok\n", TEXT_TYPE)
+
+
+ROUTES: dict[str, dict[str, Handler]] = {
+    "v1/ids": {"POST": _post_ids},
+    "v1/jobs": {"POST": _post_job},
+    "v1/jobs/*": {"PUT": _put_job, "GET": _get_job, "DELETE": _delete_job},
+    "v1/tickets/*": {"PUT": _put_ticket, "GET": _get_ticket},
+    "v1/status": {"GET": _get_status},
+    "v1/metrics": {"GET": _get_metrics},
+    "healthz": {"GET": _get_health},
+}
--- /dev/null
+++ b/src/jackdawkeel/entry/status_report.py
@@ -0,0 +1,98 @@
+"""The status of the system as one entry sees it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..controllers.roster import LIVE_S
+from ..status import AgentState
+from ..status import AgentStatus
+from ..status import EntryStatus
+from ..status import StatusReport
+from ..status import StoreStatus
+from ..status import ZoneStatus
+
+
+if TYPE_CHECKING:
+    from ..messages import AgentSighting
+    from .daemon import Entry
+
+
+MS_PER_S = 1000
+
+
+async def build_status(entry: Entry) -> StatusReport:
+    """Builds the report from what this entry and the others hear."""
+    sightings = await entry.others.list_sightings()
+    return StatusReport(
+        entries=_list_entries(entry),
+        store=_describe_store(entry),
+        availability_zones=_list_zones(entry, sightings),
+        agents=[_describe_agent(entry, sighting) for sighting in sightings],
+    )
+
+
+def _list_entries(entry: Entry) -> list[EntryStatus]:
+    now = entry.clock()
+    statuses = [
+        EntryStatus(entry.address.incarnation, entry.address.link, True, 0),
+    ]
+    for address in entry.others.addresses:
+        heard_ms = int((now - entry.others.replied_at[address.incarnation]) * MS_PER_S)
+        statuses.append(EntryStatus(address.incarnation, address.link, False, heard_ms))
+    return statuses
+
+
+def _describe_store(entry: Entry) -> StoreStatus:
+    age_ms = entry.configuration.confirmed_age_ms(entry.clock())
+    return StoreStatus(
+        reachable=bool(entry.sync.is_reached),
+        confirmed_ms=None if age_ms < 0 else age_ms,
+        revision=entry.configuration.revision,
+    )
+
+
+def _list_zones(entry: Entry, sightings: list[AgentSighting]) -> list[ZoneStatus]:
+    records = entry.configuration.document.availability_zones
+    names = {sighting.agent.availability_zone for sighting in sightings}
+    zones = []
+    for name in sorted(names | set(records)):
+        record = records.get(name)
+        ticket = 0 if record is None else record.ticket
+        zones.append(ZoneStatus(name, entry.is_zone_in_service(name), ticket))
+    return zones
+
+
+def _describe_agent(entry: Entry, sighting: AgentSighting) -> AgentStatus:
+    agent = sighting.agent
+    load = sighting.load
+    return AgentStatus(
+        incarnation=agent.address.incarnation,
+        link=agent.address.link,
+        availability_zone=agent.availability_zone,
+        rack=agent.rack,
+        target=agent.target,
+        services=agent.services,
+        slots=agent.slots,
+        connections=agent.connections,
+        running=load.running,
+        queued=load.queued,
+        waiting=load.waiting,
+        completed=load.completed,
+        failed=load.failed,
+        revision=sighting.revision,
+        state=_find_state(entry, sighting),
+        heard_ms=sighting.heard_age_ms,
+    )
+
+
+def _find_state(entry: Entry, sighting: AgentSighting) -> AgentState:
+    if sighting.heard_age_ms > LIVE_S * MS_PER_S:
+        return AgentState.SILENT
+    if sighting.leaving:
+        return AgentState.LEAVING
+    if not entry.is_zone_in_service(sighting.agent.availability_zone):
+        return AgentState.OUT_OF_SERVICE
+    if sighting.agent.address.incarnation in entry.roster.ejected:
+        return AgentState.EJECTED
+    return AgentState.IN_SERVICE
--- a/src/jackdawkeel/errors.py
+++ b/src/jackdawkeel/errors.py
@@ -24,6 +24,7 @@
     METHOD_NOT_ALLOWED = "method_not_allowed"
     NO_SUCH_SERVICE = "no_such_service"
     NO_SUCH_ID = "no_such_id"
+    NOT_SUBMITTED = "not_submitted"
     NO_SUCH_TICKET = "no_such_ticket"
     BODY_TOO_LARGE = "body_too_large"
     CONFLICT = "conflict"
@@ -36,6 +37,7 @@
     CANCELLED_BEFORE_START = "cancelled_before_start"
     SHUTTING_DOWN = "shutting_down"
     NOT_READY = "not_ready"
+    ENTRY_NOT_READY = "entry_not_ready"
     STORE_UNAVAILABLE = "store_unavailable"
     TASK_FAILED = "task_failed"
     TASK_UNKNOWN = "task_unknown"
@@ -72,6 +74,7 @@
     ErrorKind.METHOD_NOT_ALLOWED: ErrorRow(Outcome.NOT_RUN, 405),
     ErrorKind.NO_SUCH_SERVICE: ErrorRow(Outcome.NOT_RUN, 404),
     ErrorKind.NO_SUCH_ID: ErrorRow(Outcome.NOT_RUN, 404),
+    ErrorKind.NOT_SUBMITTED: ErrorRow(Outcome.UNKNOWN, 404, final=False),
     ErrorKind.NO_SUCH_TICKET: ErrorRow(Outcome.NOT_RUN, 404),
     ErrorKind.BODY_TOO_LARGE: ErrorRow(Outcome.NOT_RUN, 413),
     ErrorKind.CONFLICT: ErrorRow(Outcome.UNKNOWN, 409, final=False),
@@ -86,6 +89,9 @@
     ErrorKind.CANCELLED_BEFORE_START: ErrorRow(Outcome.NOT_RUN, 503),
     ErrorKind.SHUTTING_DOWN: ErrorRow(Outcome.NOT_RUN, 503, retry_after_ms=500),
     ErrorKind.NOT_READY: ErrorRow(Outcome.NOT_RUN, 503, retry_after_ms=1000),
+    ErrorKind.ENTRY_NOT_READY: ErrorRow(
+        Outcome.UNKNOWN, 503, final=False, retry_after_ms=1000
+    ),
     ErrorKind.STORE_UNAVAILABLE: ErrorRow(Outcome.NOT_RUN, 503, retry_after_ms=2000),
     ErrorKind.TASK_FAILED: ErrorRow(Outcome.FAILED, 502),
     ErrorKind.TASK_UNKNOWN: ErrorRow(Outcome.FAILED, 502),
--- /dev/null
+++ b/src/jackdawkeel/link/node.py
@@ -0,0 +1,275 @@
+"""The node of a process in the mesh of links: typed messages in, typed messages out.
+
+Every process listens on one Pull socket and dials one Push socket per peer. No
+pattern of NNG that re-sends is used, so a message arrives at most once.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections import deque
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+from typing import Self
+
+import msgspec
+import pynng
+
+from ..events import EventName
+from ..messages import PROTOCOL_VERSION
+from ..messages import Envelope
+from ..messages import Message
+from ..messages import PeerAddress
+from ..messages import WrongRecipient
+from .outbound import OutboundConnection
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..clock import Clock
+    from ..logs import EventLog
+
+
+MAX_MESSAGE_BYTES = 32 * 1024 * 1024
+RECEIVE_BUFFER_MESSAGES = 256
+MAX_RECEIVED_PER_WAKE = 100
+MAX_PENDING_BATCHES = 10_000
+SEND_RETRY_S = 0.005
+REDIAL_INTERVAL_S = 0.2
+IDLE_LINK_S = 120.0
+
+
+@dataclass(slots=True)
+class Batch:
+    """Messages that leave in one envelope."""
+
+    recipient: str
+    messages: list[Message]
+
+
+@dataclass(slots=True)
+class OutboundLink:
+    """The state of the link to one address.
+
+    Attributes:
+        destination: Link address of the peer.
+        session: Number of the present connection; grows with each redial.
+        connection: The present connection, or None before the first message.
+        batches: Batches that the connection has not taken, oldest first.
+        ask_redial: Whether the next envelope asks for a new connection back.
+        dialed_at: When the connection was opened, in seconds of the clock.
+        used_at: When a message was last sent, in seconds of the clock.
+    """
+
+    destination: str
+    session: int = 0
+    connection: OutboundConnection | None = None
+    batches: deque[Batch] = field(default_factory=deque)
+    ask_redial: bool = False
+    dialed_at: float = 0.0
+    used_at: float = 0.0
+
+
+class LinkNode:
+    """Owns the listening socket and the connections to the peers."""
+
+    def __init__(
+        self,
+        *,
+        listen: str,
+        address: PeerAddress,
+        clock: Clock,
+        log: EventLog,
+        deliver: Callable[[PeerAddress, Message], None],
+    ) -> None:
+        """Describes the node; sockets open on entering it.
+
+        Args:
+            listen: Link address to listen on, ``tcp://IP:PORT``.
+            address: This process as peers address it.
+            clock: Clock in seconds.
+            log: Event log.
+            deliver: Called on the loop for each message, with its sender.
+        """
+        self.listen = listen
+        self.address = address
+        self.clock = clock
+        self.log = log
+        self.deliver = deliver
+        self.source = listen.removeprefix("tcp://").rpartition(":")[0]
+        self.links: dict[str, OutboundLink] = {}
+        self.sender_sessions: dict[str, int] = {}
+        self.unsent: dict[tuple[str, str], list[Message]] = {}
+        self.flush_planned = False
+        self.sent: Counter[str] = Counter()
+        self.received: Counter[str] = Counter()
+        self.envelopes_sent = 0
+        self.envelopes_received = 0
+        self.decoder = msgspec.msgpack.Decoder(Envelope)
+        self.encoder = msgspec.msgpack.Encoder()
+
+    def __enter__(self) -> Self:
+        self.loop = asyncio.get_running_loop()
+        self.inbox = pynng.Pull0(recv_buffer_size=RECEIVE_BUFFER_MESSAGES)
+        self.inbox.recv_max_size = MAX_MESSAGE_BYTES
+        self.inbox.listen(self.listen)
+        self.receive_descriptor = self.inbox.recv_fd
+        self.loop.add_reader(self.receive_descriptor, self._receive_ready)
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._flush()
+        self.loop.remove_reader(self.receive_descriptor)
+        for link in self.links.values():
+            if link.connection is not None:
+                link.connection.close()
+        self.inbox.close()
+
+    def send(self, recipient: PeerAddress, message: Message) -> None:
+        """Sends a message; those of one turn of the loop travel together."""
+        if recipient.incarnation == self.address.incarnation:
+            self.loop.call_soon(self.deliver, self.address, message)
+            return
+        key = (recipient.link, recipient.incarnation)
+        self.unsent.setdefault(key, []).append(message)
+        self.sent[type(message).__name__] += 1
+        if not self.flush_planned:
+            self.flush_planned = True
+            self.loop.call_soon(self._flush)
+
+    def redial(self, destination: str) -> None:
+        """Replaces the connection and asks the peer to replace its own."""
+        link = self._find_link(destination)
+        if self.clock() - link.dialed_at < REDIAL_INTERVAL_S:
+            return
+        self._dial(link)
+        link.ask_redial = True
+        self.log.record(EventName.LINK_REDIALED, peer=destination, session=link.session)
+
+    def close_idle_links(self) -> None:
+        """Closes connections that have carried nothing for a while."""
+        now = self.clock()
+        for link in self.links.values():
+            if link.connection is not None and now - link.used_at > IDLE_LINK_S:
+                link.connection.close()
+                link.connection = None
+                link.batches.clear()
+
+    def _find_link(self, destination: str) -> OutboundLink:
+        link = self.links.get(destination)
+        if link is None:
+            link = self.links[destination] = OutboundLink(destination)
+        return link
+
+    def _dial(self, link: OutboundLink) -> None:
+        if link.connection is not None:
+            link.connection.close()
+        link.session += 1
+        link.dialed_at = self.clock()
+        session = link.session
+
+        def report_loss() -> None:
+            self.loop.call_soon_threadsafe(self._replace_lost, link, session)
+
+        link.connection = OutboundConnection(self.source, link.destination, report_loss)
+
+    def _replace_lost(self, link: OutboundLink, session: int) -> None:
+        if link.session != session or link.connection is None:
+            return
+        wait_s = link.dialed_at + REDIAL_INTERVAL_S - self.clock()
+        if wait_s > 0:
+            self.loop.call_later(wait_s, self._replace_lost, link, session)
+            return
+        self._dial(link)
+        self._drain(link)
+
+    def _flush(self) -> None:
+        self.flush_planned = False
+        unsent, self.unsent = self.unsent, {}
+        for (destination, recipient), messages in unsent.items():
+            link = self._find_link(destination)
+            if link.connection is None:
+                self._dial(link)
+            if len(link.batches) >= MAX_PENDING_BATCHES:
+                link.batches.popleft()
+                self.log.record(EventName.MESSAGE_DROPPED, peer=destination)
+            link.batches.append(Batch(recipient, messages))
+            self._drain(link)
+
+    def _drain(self, link: OutboundLink) -> None:
+        while link.batches and link.connection is not None:
+            if not link.connection.send(self._encode(link, link.batches[0])):
+                self.loop.call_later(SEND_RETRY_S, self._drain, link)
+                return
+            link.batches.popleft()
+            link.ask_redial = False
+            link.used_at = self.clock()
+            self.envelopes_sent += 1
+
+    def _encode(self, link: OutboundLink, batch: Batch) -> bytes:
+        envelope = Envelope(
+            version=PROTOCOL_VERSION,
+            sender=self.address,
+            recipient=batch.recipient,
+            session=link.session,
+            redial=link.ask_redial,
+            messages=batch.messages,
+        )
+        return self.encoder.encode(envelope)
+
+    def _receive_ready(self) -> None:
+        for _ in range(MAX_RECEIVED_PER_WAKE):
+            try:
+                body = self.inbox.recv(block=False)
+            except pynng.TryAgain:
+                return
+            except RuntimeError:
+                # pynng can't unpack an empty message, and has already taken it.
+                body = b""
+            self.receive(body)
+
+    def receive(self, body: bytes) -> None:
+        """Handles one encoded envelope; a damaged one is dropped."""
+        try:
+            envelope = self.decoder.decode(body)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            self.log.record(EventName.MESSAGE_DROPPED, reason=str(error))
+            return
+        if envelope.version != PROTOCOL_VERSION:
+            reason = f"protocol version {envelope.version}"
+            self.log.record(EventName.MESSAGE_DROPPED, reason=reason)
+            return
+        self.envelopes_received += 1
+        if self._is_stale(envelope):
+            return
+        if envelope.redial:
+            self._redial_back(envelope.sender.link)
+        if envelope.recipient not in ("", self.address.incarnation):
+            self.send(envelope.sender, WrongRecipient(envelope.recipient))
+            return
+        for message in envelope.messages:
+            self.received[type(message).__name__] += 1
+            self.deliver(envelope.sender, message)
+
+    def _is_stale(self, envelope: Envelope) -> bool:
+        sender = envelope.sender.incarnation
+        highest = self.sender_sessions.get(sender, 0)
+        if envelope.session < highest:
+            self.log.record(
+                EventName.MESSAGE_DROPPED,
+                peer=envelope.sender.link,
+                reason=f"session {envelope.session} is older than {highest}",
+            )
+            return True
+        self.sender_sessions[sender] = envelope.session
+        return False
+
+    def _redial_back(self, destination: str) -> None:
+        link = self.links.get(destination)
+        if link is None or link.connection is None:
+            return
+        if self.clock() - link.dialed_at >= REDIAL_INTERVAL_S:
+            self._dial(link)
--- /dev/null
+++ b/src/jackdawkeel/link/outbound.py
@@ -0,0 +1,75 @@
+"""One outgoing connection to the link of another process."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Self
+
+import pynng
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+SEND_BUFFER_MESSAGES = 64
+RECONNECT_MIN_MS = 50
+RECONNECT_MAX_MS = 500
+
+
+class OutboundConnection:
+    """A socket that carries at most one connection in its life.
+
+    NNG dials again by itself after a loss; a second connection of the same socket
+    is refused, so that messages of one session stay in order.
+    """
+
+    def __init__(
+        self, source: str, destination: str, on_lost: Callable[[], None]
+    ) -> None:
+        """Starts dialling in the background.
+
+        Args:
+            source: IP to dial from.
+            destination: Link address, ``tcp://IP:PORT``.
+            on_lost: Called on a thread of NNG when the connection is lost.
+        """
+        self.on_lost = on_lost
+        self.connected_before = False
+        self.closed = False
+        self.socket = pynng.Push0(send_buffer_size=SEND_BUFFER_MESSAGES)
+        self.socket.reconnect_time_min = RECONNECT_MIN_MS
+        self.socket.reconnect_time_max = RECONNECT_MAX_MS
+        self.socket.add_pre_pipe_connect_cb(self._accept_first_pipe)
+        self.socket.add_post_pipe_remove_cb(self._report_loss)
+        address = destination.removeprefix("tcp://")
+        self.socket.dial(f"tcp://{source};{address}", block=False)
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.close()
+
+    def send(self, body: bytes) -> bool:
+        """Sends one message; returns whether the socket took it."""
+        try:
+            self.socket.send(body, block=False)
+        except pynng.TryAgain:
+            return False
+        return True
+
+    def close(self) -> None:
+        """Closes the socket; what it has not sent is lost."""
+        self.closed = True
+        self.socket.close()
+
+    def _accept_first_pipe(self, pipe: pynng.Pipe) -> None:
+        if self.connected_before or self.closed:
+            pipe.close()
+            return
+        self.connected_before = True
+
+    def _report_loss(self, _pipe: pynng.Pipe) -> None:
+        if not self.closed:
+            self.on_lost()
--- a/src/jackdawkeel/messages.py
+++ b/src/jackdawkeel/messages.py
@@ -50,6 +50,7 @@
         completed: Tasks that ended well since the agent started.
         failed: Tasks that ended badly since the agent started.
         task_ms: Mean run time of recent tasks in milliseconds, 0 if none.
+        envelopes_sent: Envelopes sent over links since the agent started.
     """
 
     running: int = 0
@@ -58,6 +59,7 @@
     completed: int = 0
     failed: int = 0
     task_ms: float = 0.0
+    envelopes_sent: int = 0
 
 
 class PeerStatus(msgspec.Struct, frozen=True, array_like=True):
@@ -120,8 +122,19 @@
     ejected: bool
 
 
+class Refusal(msgspec.Struct, frozen=True, array_like=True):
+    """Why an entry will not have a job run; the home records it for the id."""
+
+    kind: str
+    message: str
+    retry_after_ms: int | None
+
+
 class SubmitJob(msgspec.Struct, frozen=True, array_like=True, tag=3):
-    """From an entry to a home; a copy of an admitted id only joins its answer."""
+    """From an entry to a home; a copy of an admitted id only joins its answer.
+
+    With a refusal, an id that is not yet admitted never will be.
+    """
 
     job_id: str
     digest: str
@@ -129,6 +142,7 @@
     payloads: list[bytes]
     idempotent: bool
     deadline_ms: int
+    refusal: Refusal | None = None
 
 
 class JobAnswer(msgspec.Struct, frozen=True, array_like=True, tag=4):
@@ -158,16 +172,19 @@
     job_id: str
 
 
-class TaskReference(msgspec.Struct, frozen=True, array_like=True):
-    """Names one task of a job."""
-
-    job_id: str
-    index: int
-
-
 class TaskDispatch(msgspec.Struct, frozen=True, array_like=True):
-    """One task on its way to the agent that runs it."""
+    """One task on its way to the agent that runs it.
 
+    Attributes:
+        number: Names this dispatch; the home never uses a number twice.
+        job_id: The job.
+        index: The task's place in the job.
+        service: The service that runs it.
+        payload: The JSON payload.
+        deadline_ms: Time within which it may start, in milliseconds.
+    """
+
+    number: int
     job_id: str
     index: int
     service: str
@@ -179,45 +196,44 @@
     """From a home to an executing agent.
 
     Attributes:
+        oldest_open: The lowest dispatch number that the home has not settled with
+            this agent; records of lower numbers may be dropped.
         tasks: The tasks to run.
-        acknowledged: Highest report number of that agent that the home has handled.
     """
 
+    oldest_open: int
     tasks: list[TaskDispatch]
-    acknowledged: int
 
 
 class TaskQuery(msgspec.Struct, frozen=True, array_like=True, tag=9):
-    """From a home to an executing agent: what became of these tasks.
+    """From a home to an executing agent: what became of these dispatches.
 
-    A task that has not arrived is answered ``not_started``; its dispatch, if it is
-    still under way on an older session, is dropped on arrival.
+    A dispatch that has not arrived is reported as not started; if it is still under
+    way on an older session, the agent drops it on arrival.
     """
 
-    tasks: list[TaskReference]
-    acknowledged: int
+    oldest_open: int
+    numbers: list[int]
 
 
 class CancelTasks(msgspec.Struct, frozen=True, array_like=True, tag=10):
-    """From a home to an executing agent: these tasks must not start any more."""
+    """From a home to an executing agent: these dispatches must not start."""
 
-    tasks: list[TaskReference]
-    acknowledged: int
+    oldest_open: int
+    numbers: list[int]
 
 
 class TaskReport(msgspec.Struct, frozen=True, array_like=True):
-    """What became of one task.
+    """What became of one dispatch.
 
     Attributes:
-        job_id: The job.
-        index: The task's place in the job.
+        number: The dispatch.
         state: A value of ``TaskState``.
         body: The target's JSON body if the state is done.
         reason: One sentence if the state is neither done nor running.
     """
 
-    job_id: str
-    index: int
+    number: int
     state: str
     body: bytes = b""
     reason: str = ""
@@ -227,22 +243,20 @@
     """From an executing agent to a home.
 
     Attributes:
-        reports: What became of tasks of this home.
-        number: The number of this message for this home, or 0 for a mere status.
+        reports: What became of dispatches of this home.
         running: Tasks that the target is running.
         queued: Tasks that wait at the agent.
     """
 
     reports: list[TaskReport]
-    number: int
     running: int
     queued: int
 
 
-class Acknowledge(msgspec.Struct, frozen=True, array_like=True, tag=12):
-    """From a home to an executing agent: reports up to this number are handled."""
+class SettleTasks(msgspec.Struct, frozen=True, array_like=True, tag=12):
+    """From a home to an executing agent that it has no other message for."""
 
-    acknowledged: int
+    oldest_open: int
 
 
 class WrongRecipient(msgspec.Struct, frozen=True, array_like=True, tag=13):
@@ -256,10 +270,12 @@
 
     Attributes:
         sent_at: When it was sent, in seconds of the sender's clock; echoed.
+        revision: The sender's configuration revision.
         demand: Task starts that callers asked for, per team and second.
     """
 
     sent_at: float
+    revision: int
     demand: dict[str, float]
 
 
@@ -270,7 +286,7 @@
         sent_at: Echo of the probe.
         confirmed_age_ms: Age of the last confirmation by the store, -1 if none.
         revision: The configuration revision in force.
-        document: The encoded document of that revision.
+        document: The encoded document if the revision is above the asker's.
     """
 
     sent_at: float
@@ -327,7 +343,7 @@
     | TaskQuery
     | CancelTasks
     | TaskReports
-    | Acknowledge
+    | SettleTasks
     | WrongRecipient
     | EntryProbe
     | EntryProbeReply
--- /dev/null
+++ b/src/jackdawkeel/store/entries.py
@@ -0,0 +1,41 @@
+"""The leased keys under which entries announce themselves in the store."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..messages import PeerAddress
+
+
+if TYPE_CHECKING:
+    from result import Result
+
+    from .interface import Store
+    from .interface import StoreError
+    from .interface import SwapResult
+
+
+ENTRY_PREFIX = b"/jackdawkeel/entries/"
+ENTRY_LEASE_S = 10
+
+
+def list_entries(store: Store) -> Result[list[PeerAddress], StoreError]:
+    """Reads the addresses of all live entries."""
+    return store.get_prefix(ENTRY_PREFIX).map(
+        lambda reading: [
+            PeerAddress(item.key.removeprefix(ENTRY_PREFIX).decode(), _link(item.value))
+            for item in reading.items
+        ]
+    )
+
+
+def announce_entry(
+    store: Store, address: PeerAddress, lease_id: int
+) -> Result[SwapResult, StoreError]:
+    """Writes an entry's address under its lease."""
+    key = ENTRY_PREFIX + address.incarnation.encode()
+    return store.compare_and_swap(key, 0, address.link.encode(), lease_id)
+
+
+def _link(value: bytes) -> str:
+    return value.decode(errors="replace")
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,65 @@
+"""Small fakes at the interfaces: a clock, a log and a recorder of messages."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+
+from jackdawkeel.logs import EventLog
+from jackdawkeel.messages import Message
+from jackdawkeel.messages import PeerAddress
+
+
+@dataclass
+class FakeClock:
+    """A clock that stands until it is moved."""
+
+    now: float = 1000.0
+
+    def __call__(self) -> float:
+        return self.now
+
+    def advance(self, seconds: float) -> None:
+        """Moves the clock."""
+        self.now += seconds
+
+
+@dataclass
+class Sent:
+    """One message with its recipient."""
+
+    recipient: PeerAddress
+    message: Message
+
+
+@dataclass
+class Outbox:
+    """Records what is sent and which links are redialed."""
+
+    sent: list[Sent] = field(default_factory=list)
+    redialed: list[str] = field(default_factory=list)
+
+    def send(self, recipient: PeerAddress, message: Message) -> None:
+        """Records a message."""
+        self.sent.append(Sent(recipient, message))
+
+    def redial(self, link: str) -> None:
+        """Records a redial."""
+        self.redialed.append(link)
+
+    def take(self) -> list[Message]:
+        """Returns and forgets the messages so far."""
+        messages = [sent.message for sent in self.sent]
+        self.sent.clear()
+        return messages
+
+
+def make_log(lines: list[bytes] | None = None) -> EventLog:
+    """Returns a log that writes into a list, or nowhere."""
+    sink: list[bytes] = [] if lines is None else lines
+    return EventLog("test", "0" * 16, "zone-a", sink.append)
+
+
+def make_address(name: str, port: int = 1) -> PeerAddress:
+    """Returns the address of a process that need not exist."""
+    return PeerAddress(name, f"tcp://127.0.0.1:{port}")
--- /dev/null
+++ b/tests/link/test_node.py
@@ -0,0 +1,142 @@
+"""Contract tests of the link node, over real sockets on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import unittest
+from typing import Any
+
+import msgspec
+import pynng
+
+from jackdawkeel.clock import read_boot_clock
+from jackdawkeel.link.node import LinkNode
+from jackdawkeel.messages import PROTOCOL_VERSION
+from jackdawkeel.messages import Envelope
+from jackdawkeel.messages import JobQuery
+from jackdawkeel.messages import Message
+from jackdawkeel.messages import PeerAddress
+from jackdawkeel.messages import WrongRecipient
+from tests.fakes import make_log
+
+
+CONDITION_TIMEOUT_S = 10.0
+
+
+def find_link() -> str:
+    """Returns a link address with a port that is free now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"tcp://127.0.0.1:{probe.getsockname()[1]}"
+
+
+class Inbox:
+    """Collects what a node delivers."""
+
+    def __init__(self, name: str) -> None:
+        self.messages: list[Message] = []
+        self.lines: list[bytes] = []
+        self.node = LinkNode(
+            listen=(link := find_link()),
+            address=PeerAddress(name, link),
+            clock=read_boot_clock,
+            log=make_log(self.lines),
+            deliver=lambda _sender, message: self.messages.append(message),
+        )
+
+    def count_dropped(self) -> int:
+        """Returns how many messages the node has logged as dropped."""
+        return sum(b"message_dropped" in line for line in self.lines)
+
+    async def wait_for(self, count: int) -> None:
+        """Waits until so many messages have come."""
+        async with asyncio.timeout(CONDITION_TIMEOUT_S):
+            while len(self.messages) < count:
+                await asyncio.sleep(0.005)
+
+
+def encode(sender: PeerAddress, **changes: Any) -> bytes:
+    """Encodes an envelope with one query; some fields can be set."""
+    envelope = Envelope(PROTOCOL_VERSION, sender, "", 1, False, [JobQuery("late")])
+    return msgspec.msgpack.encode(msgspec.structs.replace(envelope, **changes))
+
+
+class LinkNodeTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.one, self.two = Inbox("1" * 16), Inbox("2" * 16)
+        self.enterContext(self.one.node)
+        self.enterContext(self.two.node)
+        self.sender, self.recipient = self.one.node.address, self.two.node.address
+
+    async def test_messages_arrive_in_order_and_once(self) -> None:
+        for number in range(500):
+            self.one.node.send(self.recipient, JobQuery(str(number)))
+            if number % 50 == 0:
+                await asyncio.sleep(0)
+        await self.two.wait_for(500)
+        names = [getattr(message, "job_id", "") for message in self.two.messages]
+        self.assertEqual(names, [str(number) for number in range(500)])
+
+    async def test_mail_for_another_incarnation_is_returned(self) -> None:
+        wanted = PeerAddress("3" * 16, self.recipient.link)
+        self.one.node.send(wanted, JobQuery("x"))
+        await self.one.wait_for(1)
+        self.assertEqual(self.one.messages, [WrongRecipient("3" * 16)])
+        self.assertEqual(self.two.messages, [])
+
+    async def test_damaged_messages_harm_no_other_peer(self) -> None:
+        stranger = PeerAddress("9" * 16, "tcp://127.0.0.1:1")
+        cases = {
+            "no msgpack": b"\xc1\xff",
+            "empty": b"",
+            "another type": msgspec.msgpack.encode({"a": 1}),
+            "another version": encode(stranger, version=99),
+            "truncated": encode(stranger)[:-3],
+        }
+        with pynng.Push0() as socket_of_stranger:
+            socket_of_stranger.dial(self.recipient.link, block=True)
+            for body in cases.values():
+                await socket_of_stranger.asend(body)
+            self.one.node.send(self.recipient, JobQuery("good"))
+            await self.two.wait_for(1)
+            async with asyncio.timeout(CONDITION_TIMEOUT_S):
+                while self.two.count_dropped() < len(cases):
+                    await asyncio.sleep(0.005)
+        self.assertEqual(self.two.messages, [JobQuery("good")])
+
+    async def test_message_of_an_older_session_is_dropped(self) -> None:
+        stranger = PeerAddress("9" * 16, "tcp://127.0.0.1:1")
+        self.two.node.receive(encode(stranger, session=2))
+        self.two.node.receive(encode(stranger, session=1))
+        self.two.node.receive(encode(stranger, session=2))
+        self.assertEqual(len(self.two.messages), 2)
+        self.assertEqual(self.two.count_dropped(), 1)
+
+    async def test_a_lost_connection_is_dialed_anew(self) -> None:
+        self.one.node.send(self.recipient, JobQuery("first"))
+        await self.two.wait_for(1)
+        listen = self.two.node.listen
+        self.two.node.__exit__()
+        self.two.node.listen = listen
+        self.enterContext(self.two.node)
+        link = self.one.node.links[self.recipient.link]
+        async with asyncio.timeout(CONDITION_TIMEOUT_S):
+            while link.session < 2:
+                await asyncio.sleep(0.005)
+        self.one.node.send(self.recipient, JobQuery("second"))
+        await self.two.wait_for(2)
+        self.assertEqual(self.two.messages[1], JobQuery("second"))
+
+    async def test_redial_asks_the_peer_to_replace_its_connection(self) -> None:
+        self.one.node.send(self.recipient, JobQuery("there"))
+        self.two.node.send(self.sender, JobQuery("back"))
+        await self.two.wait_for(1)
+        await self.one.wait_for(1)
+        await asyncio.sleep(0.25)
+        self.one.node.redial(self.recipient.link)
+        self.one.node.send(self.recipient, JobQuery("again"))
+        await self.two.wait_for(2)
+        self.assertEqual(self.two.node.links[self.sender.link].session, 2)
+        self.two.node.send(self.sender, JobQuery("back again"))
+        await self.one.wait_for(2)
