Guard the loop, refuse late requests in a drain, test the controllers

Cause: an exception in a handler ended the tick task or left messages unread; a drain under steady load never reached zero requests in flight; an agent that is cut off read the store once a second without backoff. Ruled out: closing the listening socket under CherryPy, which resets connections in its backlog. Result: handlers and ticks log internal_error and go on; after a notice of 1 s new requests get an answer that says to ask another entry; store reads back off to 30 s. 20 controller tests, with a fake clock, pass.

--- a/src/jackdawkeel/agent/daemon.py
+++ b/src/jackdawkeel/agent/daemon.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import random
 import signal
 from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING
 
+from ..backoff import Backoff
+from ..backoff import spread
 from ..clock import read_boot_clock
 from ..controllers.admission import AdmissionController
 from ..controllers.agent_configuration import AgentConfigurationController
@@ -23,6 +24,7 @@
 from ..messages import AgentLoad
 from ..messages import PeerAddress
 from ..messages import PeerStatus
+from ..periodic import repeat_forever
 from ..store.entries import list_entries
 from ..store.etcd import EtcdStore
 from ..target.client import TargetClient
@@ -44,7 +46,10 @@
 TICK_S = 0.05
 HEARTBEAT_S = 1.0
 HEARTBEAT_JITTER = 0.1
-TASK_TIMEOUT_S = 120.0
+STORE_READ_MIN_S = 1.0
+STORE_READ_MAX_S = 30.0
+MAX_TASK_S = 120.0
+TASK_GRACE_S = 2.0
 QUEUE_LIMIT_PER_SLOT = 2
 DRAIN_POLL_S = 0.05
 DRAIN_SETTLE_S = 5.0
@@ -119,6 +124,7 @@
         self.target = TargetClient(settings.target, settings.connections, self.clock)
         self.threads = ThreadPoolExecutor(settings.slots, "target")
         self.store = EtcdStore(settings.store)
+        self.store_reads = Backoff(STORE_READ_MIN_S, STORE_READ_MAX_S, self.clock)
         self.stopped = asyncio.Event()
         self.had_lease = False
 
@@ -140,13 +146,15 @@
 
     def _run_task(self, record: TaskRecord, permit_expires_at: float) -> None:
         task = record.task
+        remaining_s = max(0.0, record.expires_at - self.clock())
+        timeout_s = min(MAX_TASK_S, remaining_s + TASK_GRACE_S)
         result = self.target.call(
             task.job_id,
             task.index,
             task.service,
             task.payload,
             permit_expires_at,
-            TASK_TIMEOUT_S,
+            timeout_s,
         )
         self.loop.call_soon_threadsafe(self._take_result, record, result)
 
@@ -171,7 +179,7 @@
             self._install_signals()
             tasks = [
                 asyncio.create_task(self._heartbeat_forever()),
-                asyncio.create_task(self._tick_forever()),
+                asyncio.create_task(repeat_forever(TICK_S, self.tick, self.log)),
             ]
             await self.stopped.wait()
             await self._drain()
@@ -202,13 +210,12 @@
             await asyncio.sleep(DRAIN_POLL_S)
         await asyncio.sleep(DRAIN_LINGER_S)
 
-    async def _tick_forever(self) -> None:
-        while True:
-            await asyncio.sleep(TICK_S)
-            self.execution.tick()
-            self.dispatch.tick()
-            self.admission.tick()
-            self._log_lease()
+    def tick(self) -> None:
+        """Lets time pass for all controllers."""
+        self.execution.tick()
+        self.dispatch.tick()
+        self.admission.tick()
+        self._log_lease()
 
     def _log_lease(self) -> None:
         has_lease = self.configuration.has_lease()
@@ -219,14 +226,13 @@
 
     async def _heartbeat_forever(self) -> None:
         while True:
-            if self.entries.is_cut_off():
+            if self.store_reads.is_due(self.entries.is_cut_off()):
                 await self._read_entries()
             for entry in self.entries.list_to_redial():
                 self.node.redial(entry.address.link)
             self.send_heartbeats()
             self.node.close_idle_links()
-            spread = random.uniform(-HEARTBEAT_JITTER, HEARTBEAT_JITTER)
-            await asyncio.sleep(HEARTBEAT_S * (1 + spread))
+            await asyncio.sleep(spread(HEARTBEAT_S, HEARTBEAT_JITTER))
 
     async def _read_entries(self) -> None:
         found = await self.loop.run_in_executor(None, list_entries, self.store)
--- /dev/null
+++ b/src/jackdawkeel/backoff.py
@@ -0,0 +1,38 @@
+"""Delays with jitter, so that many processes do not act at the same moment."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+
+if TYPE_CHECKING:
+    from .clock import Clock
+
+
+def spread(seconds: float, ratio: float) -> float:
+    """Returns a random time around a given one, at most so far from it."""
+    return seconds * (1 + random.uniform(-ratio, ratio))
+
+
+class Backoff:
+    """Decides when to try again, after delays that double up to a bound."""
+
+    def __init__(self, min_s: float, max_s: float, clock: Clock) -> None:
+        self.min_s = min_s
+        self.max_s = max_s
+        self.clock = clock
+        self.delay_s = min_s
+        self.next_at = 0.0
+
+    def is_due(self, is_needed: bool) -> bool:
+        """Returns whether to try now; when nothing is needed, starts anew."""
+        if not is_needed:
+            self.delay_s = self.min_s
+            return False
+        now = self.clock()
+        if now < self.next_at:
+            return False
+        self.next_at = now + random.uniform(self.min_s / 2, self.delay_s)
+        self.delay_s = min(self.max_s, 2 * self.delay_s)
+        return True
--- a/src/jackdawkeel/entry/daemon.py
+++ b/src/jackdawkeel/entry/daemon.py
@@ -7,10 +7,13 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING
 
+from ..answer import answer_error
 from ..clock import read_boot_clock
 from ..controllers.configuration import ConfigurationController
 from ..controllers.job_keys import SharedLease
 from ..controllers.roster import RosterController
+from ..errors import DispatchError
+from ..errors import ErrorKind
 from ..events import EventName
 from ..job_id import mint_incarnation
 from ..link.node import LinkNode
@@ -19,6 +22,7 @@
 from ..metrics import CounterName
 from ..metrics import HistogramName
 from ..metrics import Metrics
+from ..periodic import repeat_forever
 from ..store.etcd import EtcdStore
 from .heartbeats import answer_heartbeat
 from .http_server import HttpResponse
@@ -28,6 +32,8 @@
 from .other_entries import OtherEntries
 from .routes import answer_request
 from .routes import find_route
+from .routes import refuse_draining
+from .routes import render_answer
 from .routing import route_message
 from .store_sync import StoreSync
 
@@ -40,8 +46,7 @@
 
 
 TICK_S = 0.1
-ROSTER_TICK_S = 1.0
-PROBE_S = 1.0
+SLOW_TICK_S = 1.0
 STORE_CALL_THREADS = 8
 DRAIN_NOTICE_S = 1.0
 DRAIN_POLL_S = 0.05
@@ -96,6 +101,7 @@
         self.key_lease = SharedLease()
         self.in_flight = 0
         self.draining = False
+        self.refusing = False
         self.stopped = asyncio.Event()
 
     def is_zone_in_service(self, availability_zone: str) -> bool:
@@ -130,7 +136,7 @@
         self.in_flight += 1
         started_at = self.clock()
         try:
-            response = await answer_request(self, request)
+            response = await self._answer_guarded(request)
         finally:
             self.in_flight -= 1
         route = f"{request.method} /{find_route(request.path).name}"
@@ -146,6 +152,17 @@
             close=True,
         )
 
+    async def _answer_guarded(self, request: HttpRequest) -> HttpResponse:
+        if self.refusing:
+            return render_answer(refuse_draining(request))
+        try:
+            return await answer_request(self, request)
+        except Exception:
+            self.log.record_exception(f"answering {request.method} {request.path}")
+            text = "the entry failed to handle the request; the log has the trace"
+            error = DispatchError(ErrorKind.INTERNAL, text)
+            return render_answer(answer_error(None, error))
+
     async def run(self) -> None:
         """Serves until told to stop and all requests in flight are answered."""
         for number in (signal.SIGTERM, signal.SIGINT):
@@ -159,8 +176,10 @@
         with self.store, self.node, self.sync:
             await self.loop.run_in_executor(None, server.__enter__)
             tasks = [
-                asyncio.create_task(self._tick_forever()),
-                asyncio.create_task(self._probe_forever()),
+                asyncio.create_task(repeat_forever(TICK_S, self.tick, self.log)),
+                asyncio.create_task(
+                    repeat_forever(SLOW_TICK_S, self.tick_slowly, self.log)
+                ),
             ]
             await self.stopped.wait()
             await self._drain()
@@ -179,26 +198,21 @@
 
     async def _drain(self) -> None:
         await asyncio.sleep(DRAIN_NOTICE_S)
+        self.refusing = True
         while self.in_flight:
             await asyncio.sleep(DRAIN_POLL_S)
 
-    async def _tick_forever(self) -> None:
-        roster_ticked_at = self.clock()
-        while True:
-            await asyncio.sleep(TICK_S)
-            now = self.clock()
-            self.configuration.note_clock(now)
-            self.others.set_addresses(self.sync.entries)
-            self.forwarder.tick()
-            if now - roster_ticked_at >= ROSTER_TICK_S:
-                roster_ticked_at = now
-                self.roster.tick()
-                self.node.close_idle_links()
-
-    async def _probe_forever(self) -> None:
-        while True:
-            self.others.probe()
-            await asyncio.sleep(PROBE_S)
+    def tick(self) -> None:
+        """Lets time pass for the configuration and the calls that wait."""
+        self.configuration.note_clock(self.clock())
+        self.others.set_addresses(self.sync.entries)
+        self.forwarder.tick()
+
+    def tick_slowly(self) -> None:
+        """Lets time pass for the roster, the links and the other entries."""
+        self.others.probe()
+        self.roster.tick()
+        self.node.close_idle_links()
 
     def _apply_configuration(self, revision: int, encoded: bytes) -> None:
         self.sync.apply(revision, encoded)
--- a/src/jackdawkeel/entry/routes.py
+++ b/src/jackdawkeel/entry/routes.py
@@ -54,6 +54,19 @@
     return await handler(entry, request, route.argument)
 
 
+def refuse_draining(request: HttpRequest) -> Answer:
+    """Returns the answer to a request that comes too late in a shutdown.
+
+    A job with an id or key may have run through another entry, so that its outcome is
+    left open; any other request has had no effect.
+    """
+    text = "this entry is shutting down; ask another one"
+    if request.method == "POST" and request.idempotency_key is None:
+        return answer_error(None, DispatchError(ErrorKind.SHUTTING_DOWN, text))
+    job_id = find_route(request.path).argument or None
+    return answer_error(job_id, DispatchError(ErrorKind.ENTRY_NOT_READY, text))
+
+
 def render_answer(answer: Answer) -> HttpResponse:
     """Renders an answer with its status and Retry-After."""
     return HttpResponse(
--- a/src/jackdawkeel/link/node.py
+++ b/src/jackdawkeel/link/node.py
@@ -131,7 +131,7 @@
     def send(self, recipient: PeerAddress, message: Message) -> None:
         """Sends a message; those of one turn of the loop travel together."""
         if recipient.incarnation == self.address.incarnation:
-            self.loop.call_soon(self.deliver, self.address, message)
+            self.loop.call_soon(self._deliver_guarded, self.address, message)
             return
         key = (recipient.link, recipient.incarnation)
         self.unsent.setdefault(key, []).append(message)
@@ -252,7 +252,14 @@
             return
         for message in envelope.messages:
             self.received[type(message).__name__] += 1
-            self.deliver(envelope.sender, message)
+            self._deliver_guarded(envelope.sender, message)
+
+    def _deliver_guarded(self, sender: PeerAddress, message: Message) -> None:
+        try:
+            self.deliver(sender, message)
+        except Exception:
+            name = type(message).__name__
+            self.log.record_exception(f"handling {name} from {sender.link}")
 
     def _is_stale(self, envelope: Envelope) -> bool:
         sender = envelope.sender.incarnation
--- a/src/jackdawkeel/logs.py
+++ b/src/jackdawkeel/logs.py
@@ -5,6 +5,7 @@
 import itertools
 import sys
 import time
+import traceback
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import Self
@@ -110,6 +111,10 @@
         if self._writer is not None and self._writer.dropped > self._reported_drops:
             self._report_drops(self._writer)
 
+    def record_exception(self, doing: str) -> None:
+        """Records the exception that is being handled as an internal error."""
+        self.record(EventName.INTERNAL_ERROR, doing=doing, trace=traceback.format_exc())
+
     def _write_event(self, event: EventName, fields: dict[str, Any]) -> None:
         message = fields | self._common
         message["message_type"] = event.value
--- /dev/null
+++ b/tests/controllers/test_admission.py
@@ -0,0 +1,86 @@
+"""Tests of the admission controller."""
+
+from __future__ import annotations
+
+import unittest
+
+from jackdawkeel.answer import answer_done
+from jackdawkeel.answer import decode_answer
+from jackdawkeel.controllers.admission import ANSWER_KEPT_S
+from jackdawkeel.controllers.admission import ERA_S
+from jackdawkeel.controllers.admission import KEPT_ERAS
+from jackdawkeel.controllers.admission import MAX_KEPT_ANSWER_BYTES
+from jackdawkeel.controllers.admission import AdmissionController
+from jackdawkeel.errors import ErrorKind
+from jackdawkeel.job_id import JobId
+from jackdawkeel.job_id import mint_job_id
+from tests.fakes import FakeClock
+
+
+OWN = "a" * 16
+
+
+class AdmissionTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = FakeClock()
+        self.admission = AdmissionController(OWN, self.clock)
+
+    def mint(self) -> JobId:
+        """Returns a new id of the present era."""
+        return mint_job_id(OWN, self.admission.era)
+
+    def turn_eras(self, count: int) -> None:
+        """Lets so many eras pass."""
+        for _ in range(count):
+            self.clock.advance(ERA_S)
+            self.admission.tick()
+
+    def test_refusals(self) -> None:
+        cases = [
+            (mint_job_id("b" * 16, 1), ErrorKind.NO_SUCH_ID),
+            (mint_job_id(OWN, 2), ErrorKind.NO_SUCH_ID),
+            (mint_job_id(OWN, 0), ErrorKind.ID_EXPIRED),
+            (mint_job_id(OWN, 1), None),
+        ]
+        for job_id, kind in cases:
+            with self.subTest(job_id=str(job_id)):
+                refusal = self.admission.find_refusal(job_id)
+                self.assertEqual(refusal and refusal.kind, kind)
+
+    def test_an_id_is_known_until_its_era_is_refused(self) -> None:
+        job_id = self.mint()
+        self.admission.admit(job_id, "digest")
+        self.admission.keep_answer(job_id, answer_done(str(job_id), []))
+        for _ in range(2 * KEPT_ERAS):
+            self.turn_eras(1)
+            known = self.admission.find(job_id) is not None
+            refused = self.admission.find_refusal(job_id) is not None
+            self.assertNotEqual(known, refused)
+        self.assertFalse(known)
+
+    def test_an_era_with_a_running_job_is_not_dropped(self) -> None:
+        job_id = self.mint()
+        self.admission.admit(job_id, "digest")
+        self.turn_eras(3 * KEPT_ERAS)
+        self.assertIsNotNone(self.admission.find(job_id))
+        self.admission.keep_answer(job_id, answer_done(str(job_id), []))
+        self.turn_eras(1)
+        self.assertIsNotNone(self.admission.find_refusal(job_id))
+
+    def test_dropped_answers_are_told_as_expired(self) -> None:
+        body = b'"%s"' % (b"x" * (MAX_KEPT_ANSWER_BYTES // 2))
+        for dropped_by in ("size", "age"):
+            with self.subTest(dropped_by=dropped_by):
+                job_id = self.mint()
+                record = self.admission.admit(job_id, "digest")
+                self.admission.keep_answer(job_id, answer_done(str(job_id), [body]))
+                if dropped_by == "age":
+                    self.clock.advance(ANSWER_KEPT_S + 1)
+                    self.admission.tick()
+                else:
+                    other = self.mint()
+                    self.admission.admit(other, "digest")
+                    self.admission.keep_answer(other, answer_done(str(other), [body]))
+                answer = decode_answer(record.answer or b"")
+                self.assertEqual(answer.outcome, "failed")
+                self.assertEqual(answer.error and answer.error.kind, "answer_expired")
--- /dev/null
+++ b/tests/controllers/test_dispatch.py
@@ -0,0 +1,208 @@
+"""Tests of the dispatch controller, with a fake clock and no process."""
+
+from __future__ import annotations
+
+import unittest
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from jackdawkeel.controllers.dispatch import GONE_AFTER_S
+from jackdawkeel.controllers.dispatch import DispatchController
+from jackdawkeel.controllers.peers import QUEUE_ALLOWANCE
+from jackdawkeel.controllers.peers import PeerController
+from jackdawkeel.messages import AgentLoad
+from jackdawkeel.messages import CancelTasks
+from jackdawkeel.messages import DispatchTasks
+from jackdawkeel.messages import PeerAddress
+from jackdawkeel.messages import PeerStatus
+from jackdawkeel.messages import SubmitJob
+from jackdawkeel.messages import TaskQuery
+from jackdawkeel.messages import TaskReport
+from jackdawkeel.messages import TaskReports
+from tests.fakes import FakeClock
+from tests.fakes import Outbox
+from tests.fakes import make_address
+from tests.fakes import make_log
+
+
+if TYPE_CHECKING:
+    from jackdawkeel.answer import Answer
+
+
+SLOTS = 2
+OWN = make_address("a" * 16, 1)
+NEAR = make_address("b" * 16, 2)
+FAR = make_address("c" * 16, 3)
+
+
+def make_peer(address: PeerAddress, zone: str) -> PeerStatus:
+    """Builds an idle peer."""
+    return PeerStatus(address, ["service"], zone, SLOTS, AgentLoad())
+
+
+@dataclass(frozen=True)
+class Out:
+    """A dispatch that a test has seen."""
+
+    peer: PeerAddress
+    number: int
+    index: int
+
+
+class DispatchTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = FakeClock()
+        self.outbox = Outbox()
+        self.answers: dict[str, Answer] = {}
+        self.zones_out: set[str] = set()
+        self.peers = PeerController(
+            make_peer(OWN, "zone-a"),
+            self.clock,
+            lambda zone: zone not in self.zones_out,
+        )
+        self.peers.apply_list([make_peer(NEAR, "zone-a"), make_peer(FAR, "zone-b")])
+        self.dispatch = DispatchController(
+            clock=self.clock,
+            log=make_log(),
+            peers=self.peers,
+            send=self.outbox.send,
+            redial=self.outbox.redial,
+            finish=self.answers.__setitem__,
+        )
+
+    def submit(self, tasks: int, *, idempotent: bool = False) -> None:
+        """Starts a job."""
+        payloads = [b"%d" % index for index in range(tasks)]
+        self.dispatch.start_job(
+            SubmitJob("job", "d", "service", payloads, idempotent, 20_000)
+        )
+
+    def take_out(self) -> list[Out]:
+        """Returns the dispatches sent since the last call."""
+        out = [
+            Out(sent.recipient, task.number, task.index)
+            for sent in self.outbox.sent
+            if isinstance(sent.message, DispatchTasks)
+            for task in sent.message.tasks
+        ]
+        self.outbox.sent.clear()
+        return out
+
+    def report(
+        self, out: Out, state: str, *, sender: PeerAddress | None = None
+    ) -> None:
+        """Reports one dispatch as its peer, or another, would."""
+        report = TaskReport(out.number, state, b'"%d"' % out.index, "reason")
+        self.dispatch.handle_reports(sender or out.peer, TaskReports([report], 0, 0))
+
+    def test_results_are_whole_and_in_order(self) -> None:
+        self.submit(4)
+        for out in reversed(self.take_out()):
+            self.assertEqual(self.answers, {})
+            self.report(out, "done")
+        answer = self.answers["job"]
+        results = [bytes(result) for result in answer.results or []]
+        self.assertEqual(results, [b'"0"', b'"1"', b'"2"', b'"3"'])
+
+    def test_own_target_then_own_zone_then_others(self) -> None:
+        self.submit(3 * SLOTS)
+        peers = [out.peer for out in self.take_out()]
+        self.assertEqual(peers, [OWN] * SLOTS + [NEAR] * SLOTS + [FAR] * SLOTS)
+
+    def test_tasks_stay_at_home_when_all_are_full(self) -> None:
+        self.submit(100)
+        out = self.take_out()
+        self.assertEqual(len(out), 3 * (SLOTS + QUEUE_ALLOWANCE))
+        self.report(out[0], "done")
+        self.assertEqual(len(self.take_out()), 1)
+
+    def test_outcome_of_a_bad_report(self) -> None:
+        cases = [
+            ("failed", False, "task_failed"),
+            ("unknown", False, "task_unknown"),
+            ("failed", True, ""),
+            ("unknown", True, ""),
+            ("not_started", False, ""),
+            ("not_started", True, ""),
+            ("running", False, ""),
+        ]
+        for state, idempotent, kind in cases:
+            with self.subTest(state=state, idempotent=idempotent):
+                self.setUp()
+                self.submit(2, idempotent=idempotent)
+                first, second = self.take_out()
+                self.report(first, state)
+                again = self.take_out()
+                if kind:
+                    answer = self.answers["job"]
+                    self.assertIsNone(answer.results)
+                    self.assertEqual(answer.error and answer.error.kind, kind)
+                    self.assertEqual(again, [])
+                    continue
+                self.assertEqual(self.answers, {})
+                indexes = [] if state == "running" else [first.index]
+                self.assertEqual([out.index for out in again], indexes)
+                self.report(again[0] if again else first, "done")
+                self.report(second, "done")
+                self.assertEqual(self.answers["job"].outcome, "done")
+
+    def test_late_and_foreign_reports_change_nothing(self) -> None:
+        self.submit(2)
+        first, second = self.take_out()
+        self.report(first, "not_started", sender=NEAR)
+        self.assertEqual(self.take_out(), [])
+        self.report(first, "not_started")
+        (again,) = self.take_out()
+        self.report(first, "not_started")
+        self.report(first, "failed")
+        self.assertEqual(self.take_out(), [])
+        self.report(again, "done")
+        self.report(second, "done")
+        self.assertEqual(self.answers["job"].outcome, "done")
+
+    def test_silent_peer_is_asked_redialed_and_given_up(self) -> None:
+        self.submit(3)
+        out = [item for item in self.take_out() if item.peer == NEAR]
+        self.assertEqual(len(out), 1)
+        self.clock.advance(1.0)
+        self.dispatch.tick()
+        queries = [m for m in self.outbox.take() if isinstance(m, TaskQuery)]
+        self.assertIn([out[0].number], [query.numbers for query in queries])
+        self.assertEqual(self.outbox.redialed, [])
+        self.clock.advance(0.9)
+        self.dispatch.tick()
+        self.assertIn(NEAR.link, self.outbox.redialed)
+        for _ in range(int(GONE_AFTER_S) + 1):
+            self.clock.advance(0.9)
+            self.dispatch.tick()
+        error = self.answers["job"].error
+        self.assertEqual(error and error.kind, "task_unknown")
+
+    def test_pause_of_the_home_does_not_give_peers_up(self) -> None:
+        self.submit(3)
+        self.take_out()
+        self.clock.advance(15.0)
+        self.dispatch.tick()
+        self.assertEqual(self.answers, {})
+
+    def test_deadline_and_cancel_tell_whether_something_started(self) -> None:
+        self.zones_out = {"zone-a", "zone-b"}
+        self.submit(2)
+        self.dispatch.cancel_job("job")
+        error = self.answers["job"].error
+        self.assertEqual(error and error.kind, "cancelled_before_start")
+        self.zones_out = set()
+        self.submit(2)
+        out = self.take_out()
+        self.dispatch.cancel_job("job")
+        error = self.answers["job"].error
+        self.assertEqual(error and error.kind, "cancelled")
+        (message,) = self.outbox.take()
+        self.assertIsInstance(message, CancelTasks)
+        self.report(out[0], "done")
+        self.assertEqual(self.answers["job"].outcome, "failed")
+
+    def test_nothing_is_sent_into_a_zone_out_of_service(self) -> None:
+        self.zones_out = {"zone-a"}
+        self.submit(10)
+        self.assertEqual({out.peer for out in self.take_out()}, {FAR})
--- /dev/null
+++ b/tests/controllers/test_execution.py
@@ -0,0 +1,124 @@
+"""Tests of the execution controller, with a fake clock and no process."""
+
+from __future__ import annotations
+
+import unittest
+
+from jackdawkeel.controllers.execution import HOME_SILENCE_S
+from jackdawkeel.controllers.execution import ExecutionController
+from jackdawkeel.controllers.execution import TaskRecord
+from jackdawkeel.messages import CancelTasks
+from jackdawkeel.messages import DispatchTasks
+from jackdawkeel.messages import TaskDispatch
+from jackdawkeel.messages import TaskQuery
+from jackdawkeel.messages import TaskReports
+from jackdawkeel.task_state import TaskState
+from tests.fakes import FakeClock
+from tests.fakes import Outbox
+from tests.fakes import make_address
+from tests.fakes import make_log
+
+
+HOME = make_address("a" * 16)
+SLOTS = 2
+
+
+def make_dispatch(*numbers: int, oldest_open: int = 1) -> DispatchTasks:
+    """Builds a message with one task a number."""
+    tasks = [
+        TaskDispatch(number, "job", number, "service", b"{}", 1000)
+        for number in numbers
+    ]
+    return DispatchTasks(oldest_open, tasks)
+
+
+class ExecutionTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = FakeClock()
+        self.outbox = Outbox()
+        self.started: list[TaskRecord] = []
+        self.refusal = ""
+        self.execution = ExecutionController(
+            slots=SLOTS,
+            queue_limit=1,
+            clock=self.clock,
+            log=make_log(),
+            send=self.outbox.send,
+            start=self.started.append,
+            find_start_refusal=lambda: self.refusal,
+        )
+
+    def take_states(self) -> dict[int, str]:
+        """Returns the states reported since the last call, by number."""
+        reports = [
+            report
+            for message in self.outbox.take()
+            if isinstance(message, TaskReports)
+            for report in message.reports
+        ]
+        return {report.number: report.state for report in reports}
+
+    def end(self, record: TaskRecord, state: TaskState = TaskState.DONE) -> None:
+        """Ends a started task."""
+        self.execution.handle_result(record, state, b"1", "")
+
+    def test_starts_within_the_slots_and_refuses_beyond_the_queue(self) -> None:
+        self.execution.handle_dispatch(HOME, make_dispatch(1, 2, 3, 4))
+        self.assertEqual([record.task.number for record in self.started], [1, 2])
+        self.assertEqual(self.take_states(), {4: "not_started"})
+        self.end(self.started[0])
+        self.assertEqual([record.task.number for record in self.started], [1, 2, 3])
+        self.assertEqual(self.take_states(), {1: "done"})
+
+    def test_a_copy_of_a_dispatch_starts_nothing(self) -> None:
+        self.execution.handle_dispatch(HOME, make_dispatch(1))
+        self.execution.handle_dispatch(HOME, make_dispatch(1))
+        self.end(self.started[0])
+        self.execution.handle_dispatch(HOME, make_dispatch(1))
+        self.execution.handle_dispatch(HOME, make_dispatch(2, oldest_open=2))
+        self.execution.handle_dispatch(HOME, make_dispatch(1, oldest_open=2))
+        self.assertEqual([record.task.number for record in self.started], [1, 2])
+
+    def test_queue_is_handed_back_when_starting_is_refused(self) -> None:
+        self.execution.handle_dispatch(HOME, make_dispatch(1, 2, 3))
+        self.refusal = "the availability zone is out of service"
+        self.execution.tick()
+        self.assertEqual(self.take_states(), {3: "not_started"})
+        self.refusal = ""
+        self.end(self.started[0])
+        self.assertEqual(len(self.started), SLOTS)
+
+    def test_deadline_is_checked_at_the_start(self) -> None:
+        self.execution.handle_dispatch(HOME, make_dispatch(1, 2, 3))
+        self.clock.advance(1.5)
+        self.end(self.started[0])
+        self.assertEqual(self.take_states(), {1: "done", 3: "not_started"})
+
+    def test_query_tells_the_state_and_settled_records_are_dropped(self) -> None:
+        self.execution.handle_dispatch(HOME, make_dispatch(1, 2, 3))
+        self.end(self.started[0])
+        self.end(self.started[1], TaskState.UNKNOWN)
+        self.take_states()
+        self.execution.handle_query(HOME, TaskQuery(1, [1, 2, 3, 9]))
+        self.assertEqual(
+            self.take_states(),
+            {1: "done", 2: "unknown", 3: "running", 9: "not_started"},
+        )
+        self.execution.handle_settled(HOME, 3)
+        self.assertEqual(list(self.execution.homes[HOME.incarnation].records), [3])
+
+    def test_forgotten_dispatch_is_never_called_not_started(self) -> None:
+        self.execution.handle_dispatch(HOME, make_dispatch(1))
+        self.end(self.started[0])
+        self.clock.advance(HOME_SILENCE_S + 1)
+        self.execution.tick()
+        self.take_states()
+        self.execution.handle_query(HOME, TaskQuery(1, [1]))
+        self.assertEqual(self.take_states(), {1: "unknown"})
+
+    def test_cancel_ends_only_what_has_not_started(self) -> None:
+        self.execution.handle_dispatch(HOME, make_dispatch(1, 2, 3))
+        self.execution.handle_cancel(HOME, CancelTasks(1, [1, 3, 8]))
+        self.assertEqual(self.take_states(), {3: "not_started"})
+        self.end(self.started[0])
+        self.assertEqual(len(self.started), SLOTS)
