Submit jobs and tickets, show status and time line by command

Cause: operators and callers had no commands. job submit takes its id first and puts the job again under it while the answer is lost or not final, so that nothing starts twice; a ticket is sent once, because a repeated one could be told that a later ticket superseded it though it had been accepted. Exit codes follow the outcome of the answer; a reply that is no answer is unknown. timeline orders by wall clock, and counts damaged lines. usage.py takes over what the commands had each for themselves.

--- a/src/jackdawkeel/console/application.py
+++ b/src/jackdawkeel/console/application.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import sys
 from typing import TYPE_CHECKING
 
@@ -15,6 +16,10 @@
 from .command import UsageError
 from .commands import agent
 from .commands import entry
+from .commands import job
+from .commands import status
+from .commands import ticket
+from .commands import timeline
 from .help_text import describe_application
 from .help_text import describe_command
 
@@ -26,12 +31,25 @@
 COMMANDS: tuple[Command, ...] = (
     entry.COMMAND,
     agent.COMMAND,
+    ticket.SUBMIT_COMMAND,
+    ticket.STATUS_COMMAND,
+    job.COMMAND,
+    status.COMMAND,
+    timeline.COMMAND,
 )
 
 
 def main() -> None:
     """Runs the command that the arguments name and exits with its code."""
-    sys.exit(run(sys.argv[1:]))
+    try:
+        code = run(sys.argv[1:])
+        if sys.stdout is not None:
+            sys.stdout.flush()
+    except BrokenPipeError:
+        # The reader of the output is gone, as with "| head".
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        code = ExitCode.UNKNOWN
+    sys.exit(code)
 
 
 def run(words: Sequence[str]) -> int:
--- a/src/jackdawkeel/console/commands/agent.py
+++ b/src/jackdawkeel/console/commands/agent.py
@@ -4,12 +4,10 @@
 
 import os
 
-from result import Err
-
 from ...settings import AGENT_OPTIONS
 from ...settings import read_agent_settings
 from ..command import Command
-from ..command import UsageError
+from ..usage import require_settings
 
 
 def agent(
@@ -40,14 +38,12 @@
         "slots": slots,
         "connections": connections,
     }
-    settings = read_agent_settings(flags, os.environ)
-    if isinstance(settings, Err):
-        raise UsageError(str(settings.err_value))
+    settings = require_settings(read_agent_settings(flags, os.environ))
 
     # Agents do not load what only entries need, such as CherryPy.
     from ...agent.daemon import run_agent  # type: ignore[import-not-found, unused-ignore]
 
-    return int(run_agent(settings.ok_value))
+    return int(run_agent(settings))
 
 
 COMMAND = Command(
--- a/src/jackdawkeel/console/commands/entry.py
+++ b/src/jackdawkeel/console/commands/entry.py
@@ -4,12 +4,10 @@
 
 import os
 
-from result import Err
-
 from ...settings import ENTRY_OPTIONS
 from ...settings import read_entry_settings
 from ..command import Command
-from ..command import UsageError
+from ..usage import require_settings
 
 
 def entry(
@@ -34,13 +32,11 @@
         "availability_zone": availability_zone,
         "threads": threads,
     }
-    settings = read_entry_settings(flags, os.environ)
-    if isinstance(settings, Err):
-        raise UsageError(str(settings.err_value))
+    settings = require_settings(read_entry_settings(flags, os.environ))
 
     from ...entry.daemon import run_entry  # type: ignore[import-not-found, unused-ignore]
 
-    return int(run_entry(settings.ok_value))
+    return int(run_entry(settings))
 
 
 COMMAND = Command(
--- /dev/null
+++ b/src/jackdawkeel/console/commands/job.py
@@ -0,0 +1,108 @@
+"""The command that submits a job."""
+
+from __future__ import annotations
+
+import os
+import time
+from pathlib import Path
+
+from result import Err
+
+from ...answer import answer_error
+from ...answer import encode_answer
+from ...job_request import parse_job_request
+from ...settings import CLIENT_OPTIONS
+from ...settings import Option
+from ...settings import read_client_settings
+from ...settings import read_text
+from ..command import Command
+from ..command import ExitCode
+from ..entry_client import CallError
+from ..entry_client import EntryClient
+from ..entry_client import EntryReply
+from ..job_submission import Attempts
+from ..job_submission import put_job
+from ..job_submission import take_job_id
+from ..replies import answer_exit_code
+from ..replies import print_error
+from ..replies import print_reply
+from ..usage import require_file
+from ..usage import require_settings
+
+
+ID = Option("id", "ID", "the job's id (default: takes a new one from the entry)")
+BAD_REQUEST_STATUS = 400
+
+
+def submit_job(
+    file: str,
+    /,
+    *,
+    entry: str | None = None,
+    timeout_ms: str | None = None,
+    id: str | None = None,  # noqa: A002
+) -> int:
+    """Submits a job, prints its answer and returns the exit code.
+
+    Raises:
+        UsageError: If a setting is missing or bad, or the file can't be read.
+    """
+    flags = {"entry": entry, "timeout_ms": timeout_ms, "id": id}
+    settings = require_settings(read_client_settings(flags, os.environ))
+    job_id = read_text(ID, flags, os.environ)
+    body = require_file(Path(file))
+    job = parse_job_request(body)
+    if isinstance(job, Err):
+        refusal = encode_answer(answer_error(None, job.err_value))
+        return _finish(EntryReply(BAD_REQUEST_STATUS, refusal))
+    with EntryClient(settings.entry) as client:
+        if job_id is not None:
+            return _put(client, job_id, body, settings.timeout_s, is_new=False)
+        taken = take_job_id(client, job.ok_value.service, settings.timeout_s)
+        if isinstance(taken, Err):
+            return _finish_without_id(taken.err_value)
+        return _put(client, taken.ok_value, body, settings.timeout_s, is_new=True)
+
+
+def _put(
+    client: EntryClient, job_id: str, body: bytes, timeout_s: float, *, is_new: bool
+) -> ExitCode:
+    attempts = Attempts(time.monotonic() + timeout_s)
+    called = put_job(client, job_id, body, attempts)
+    if isinstance(called, Err):
+        never_ran = is_new and not attempts.may_have_arrived
+        return _finish_without_answer(job_id, called.err_value, never_ran)
+    return _finish(called.ok_value)
+
+
+def _finish(reply: EntryReply) -> ExitCode:
+    print_reply(reply)
+    return answer_exit_code(reply)
+
+
+def _finish_without_id(failure: EntryReply | CallError) -> ExitCode:
+    if isinstance(failure, EntryReply):
+        print_reply(failure)
+        answer_exit_code(failure)
+    else:
+        print_error(f"not run: no id for the job: {failure.message}")
+    return ExitCode.NOT_RUN
+
+
+def _finish_without_answer(job_id: str, error: CallError, never_ran: bool) -> ExitCode:
+    if never_ran:
+        print_error(f"not run: job {job_id} never reached an entry: {error.message}")
+        return ExitCode.NOT_RUN
+    print_error(
+        f"unknown: no answer for job {job_id}; ask again with --id: {error.message}"
+    )
+    return ExitCode.UNKNOWN
+
+
+COMMAND = Command(
+    name="job submit",
+    summary="Submits a job, waits for its answer and prints it.",
+    run=submit_job,
+    options=(*CLIENT_OPTIONS, ID),
+    arguments=("FILE.json",),
+)
--- /dev/null
+++ b/src/jackdawkeel/console/commands/status.py
@@ -0,0 +1,53 @@
+"""The command that shows agents, availability zones, entries and the store."""
+
+from __future__ import annotations
+
+import os
+
+import msgspec
+from result import Err
+
+from ...settings import CLIENT_OPTIONS
+from ...settings import read_client_settings
+from ...status import decode_status_report
+from ..command import Command
+from ..command import ExitCode
+from ..entry_client import EntryClient
+from ..replies import OK_STATUS
+from ..replies import print_error
+from ..status_table import render_status
+from ..usage import require_settings
+
+
+def show_status(*, entry: str | None = None, timeout_ms: str | None = None) -> int:
+    """Prints the status as a table and returns the exit code.
+
+    Raises:
+        UsageError: If a setting is missing or bad.
+    """
+    flags = {"entry": entry, "timeout_ms": timeout_ms}
+    settings = require_settings(read_client_settings(flags, os.environ))
+    with EntryClient(settings.entry) as client:
+        called = client.call("GET", "/v1/status", settings.timeout_s)
+    if isinstance(called, Err):
+        print_error(f"no status: {called.err_value.message}")
+        return ExitCode.FAILED
+    reply = called.ok_value
+    if reply.status != OK_STATUS:
+        print_error(f"no status: the entry replied with status {reply.status}")
+        return ExitCode.FAILED
+    try:
+        report = decode_status_report(reply.body)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        print_error(f"no status: the reply is no status report: {str(error)!a}")
+        return ExitCode.FAILED
+    print(render_status(report))
+    return ExitCode.DONE
+
+
+COMMAND = Command(
+    name="status",
+    summary="Prints agents by availability zone, entries and the store as a table.",
+    run=show_status,
+    options=CLIENT_OPTIONS,
+)
--- /dev/null
+++ b/src/jackdawkeel/console/commands/ticket.py
@@ -0,0 +1,102 @@
+"""The commands that submit a change ticket and show where it is in force."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+
+from result import Err
+
+from ...setting_values import SettingError
+from ...setting_values import parse_count
+from ...settings import CLIENT_OPTIONS
+from ...settings import ClientSettings
+from ...settings import read_client_settings
+from ...ticket import MAX_TICKET_NUMBER
+from ..command import Command
+from ..command import ExitCode
+from ..command import UsageError
+from ..entry_client import EntryClient
+from ..replies import print_error
+from ..replies import print_reply
+from ..replies import report_exit_code
+from ..usage import require_file
+from ..usage import require_settings
+
+
+def submit_ticket(
+    number: str,
+    file: str,
+    /,
+    *,
+    entry: str | None = None,
+    timeout_ms: str | None = None,
+) -> int:
+    """Submits a ticket once, prints the answer and returns the exit code.
+
+    Raises:
+        UsageError: If a setting or the number is bad, or the file can't be read.
+    """
+    settings = _read_settings(entry, timeout_ms)
+    ticket = _parse_number(number)
+    body = require_file(Path(file))
+    with EntryClient(settings.entry) as client:
+        called = client.call("PUT", f"/v1/tickets/{ticket}", settings.timeout_s, body)
+    if isinstance(called, Err):
+        error = called.err_value
+        if not error.may_have_arrived:
+            print_error(f"not run: ticket {ticket} was not sent: {error.message}")
+            return ExitCode.NOT_RUN
+        print_error(
+            f"unknown: no answer for ticket {ticket}; submit it again: {error.message}"
+        )
+        return ExitCode.UNKNOWN
+    print_reply(called.ok_value)
+    return report_exit_code(called.ok_value)
+
+
+def show_ticket(
+    number: str, /, *, entry: str | None = None, timeout_ms: str | None = None
+) -> int:
+    """Prints where a ticket is in force and returns the exit code.
+
+    Raises:
+        UsageError: If a setting or the number is bad.
+    """
+    settings = _read_settings(entry, timeout_ms)
+    ticket = _parse_number(number)
+    with EntryClient(settings.entry) as client:
+        called = client.call("GET", f"/v1/tickets/{ticket}", settings.timeout_s)
+    if isinstance(called, Err):
+        print_error(f"unknown: no answer: {called.err_value.message}")
+        return ExitCode.UNKNOWN
+    print_reply(called.ok_value)
+    return report_exit_code(called.ok_value)
+
+
+def _read_settings(entry: str | None, timeout_ms: str | None) -> ClientSettings:
+    flags = {"entry": entry, "timeout_ms": timeout_ms}
+    return require_settings(read_client_settings(flags, os.environ))
+
+
+def _parse_number(text: str) -> int:
+    try:
+        return parse_count(text, 1, MAX_TICKET_NUMBER)
+    except SettingError as error:
+        raise UsageError(f"the ticket's number {error}") from None
+
+
+SUBMIT_COMMAND = Command(
+    name="ticket submit",
+    summary="Submits a change ticket and prints the answer.",
+    run=submit_ticket,
+    options=CLIENT_OPTIONS,
+    arguments=("N", "FILE.json"),
+)
+STATUS_COMMAND = Command(
+    name="ticket status",
+    summary="Prints at which agents a change ticket is in force.",
+    run=show_ticket,
+    options=CLIENT_OPTIONS,
+    arguments=("N",),
+)
--- /dev/null
+++ b/src/jackdawkeel/console/commands/timeline.py
@@ -0,0 +1,43 @@
+"""The command that merges the event logs of all processes."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+from ..arguments import STANDARD_INPUT
+from ..command import Command
+from ..command import ExitCode
+from ..merged_events import merge_events
+from ..merged_events import render_event
+from ..replies import print_error
+from ..usage import require_file
+
+
+def show_timeline(*logs: str) -> int:
+    """Prints the merged events of all logs and returns the exit code.
+
+    Raises:
+        UsageError: If a log can't be read.
+    """
+    merged = merge_events([_read_lines(log) for log in logs])
+    for event in merged.events:
+        print(render_event(event))
+    if merged.damaged:
+        print_error(f"{merged.damaged} damaged lines were ignored")
+    return ExitCode.DONE
+
+
+def _read_lines(log: str) -> list[bytes]:
+    if log == STANDARD_INPUT:
+        return sys.stdin.buffer.read().splitlines()
+    return require_file(Path(log)).splitlines()
+
+
+COMMAND = Command(
+    name="timeline",
+    summary="Prints the events of several logs in order of time; - is standard input.",
+    run=show_timeline,
+    arguments=("LOG",),
+    takes_more=True,
+)
--- /dev/null
+++ b/src/jackdawkeel/console/merged_events.py
@@ -0,0 +1,109 @@
+"""Merges the event logs of several processes into one time line."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from datetime import UTC
+from datetime import datetime
+from typing import TYPE_CHECKING
+from typing import Any
+
+import msgspec
+
+from ..logs import COMMON_FIELDS
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+
+UNKNOWN = "-"
+
+
+class LogLine(msgspec.Struct, frozen=True):
+    """The common fields of a line of an event log."""
+
+    timestamp: float
+    message_type: str
+    process: str = UNKNOWN
+    incarnation: str = UNKNOWN
+    availability_zone: str = UNKNOWN
+
+
+@dataclass(frozen=True, slots=True)
+class LoggedEvent:
+    """One event of one process.
+
+    Attributes:
+        time: When it was logged, by that process's wall clock.
+        line: The common fields.
+        fields: The other fields.
+    """
+
+    time: datetime
+    line: LogLine
+    fields: dict[str, Any]
+
+
+@dataclass(frozen=True, slots=True)
+class MergedEvents:
+    """The events of several logs in order of time.
+
+    Attributes:
+        events: The events; of the same time, in the order of the logs.
+        damaged: Lines that are no events.
+    """
+
+    events: list[LoggedEvent]
+    damaged: int
+
+
+def merge_events(logs: Iterable[Iterable[bytes]]) -> MergedEvents:
+    """Parses the lines of all logs and orders the events by time."""
+    events: list[LoggedEvent] = []
+    damaged = 0
+    for log in logs:
+        for line in log:
+            if not line.strip():
+                continue
+            event = parse_event(line)
+            if event is None:
+                damaged += 1
+            else:
+                events.append(event)
+    events.sort(key=lambda event: event.time)
+    return MergedEvents(events, damaged)
+
+
+def parse_event(line: bytes) -> LoggedEvent | None:
+    """Parses a line of an event log; returns None if it is damaged."""
+    try:
+        fields = msgspec.json.decode(line, type=dict[str, Any])
+        common = msgspec.convert(fields, type=LogLine)
+        time = datetime.fromtimestamp(common.timestamp, UTC)
+    except (ValueError, OverflowError, OSError, RecursionError):
+        return None
+    extra = {name: item for name, item in fields.items() if name not in COMMON_FIELDS}
+    return LoggedEvent(time, common, extra)
+
+
+def render_event(event: LoggedEvent) -> str:
+    """Returns an event as one line: time, process, event name, fields."""
+    line = event.line
+    process = f"{line.process}/{line.incarnation}@{line.availability_zone}"
+    moment = event.time.isoformat(timespec="microseconds").replace("+00:00", "Z")
+    words = [moment, _show_text(process), _show_text(line.message_type)]
+    words += [f"{_show_text(key)}={_show(item)}" for key, item in event.fields.items()]
+    return " ".join(words)
+
+
+def _show(value: object) -> str:
+    if isinstance(value, str):
+        return _show_text(value)
+    return json.dumps(value)
+
+
+def _show_text(text: str) -> str:
+    is_plain = text.isprintable() and not set(text) & set(" \"'=")
+    return text if is_plain and text else json.dumps(text)
--- /dev/null
+++ b/src/jackdawkeel/console/replies.py
@@ -0,0 +1,63 @@
+"""How the reply of an entry becomes output and an exit code."""
+
+from __future__ import annotations
+
+import sys
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from ..answer import Answer
+from ..answer import decode_answer
+from ..errors import Outcome
+from .command import ExitCode
+
+
+if TYPE_CHECKING:
+    from .entry_client import EntryReply
+
+
+OUTCOME_EXIT_CODES: dict[Outcome, ExitCode] = {
+    Outcome.DONE: ExitCode.DONE,
+    Outcome.FAILED: ExitCode.FAILED,
+    Outcome.NOT_RUN: ExitCode.NOT_RUN,
+    Outcome.UNKNOWN: ExitCode.UNKNOWN,
+    Outcome.RUNNING: ExitCode.UNKNOWN,
+}
+OK_STATUS = 200
+
+
+def read_answer(reply: EntryReply) -> Answer | None:
+    """Returns the answer in a reply, or None if its body is none."""
+    try:
+        return decode_answer(reply.body)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+        return None
+
+
+def print_reply(reply: EntryReply) -> None:
+    """Prints the body of a reply on standard output, as it came."""
+    print(reply.body.decode(errors="backslashreplace").rstrip("\n"))
+
+
+def print_error(message: str) -> None:
+    """Prints one line on standard error."""
+    print(f"jackdawkeel: {message}", file=sys.stderr)
+
+
+def answer_exit_code(reply: EntryReply) -> ExitCode:
+    """Returns the exit code for a reply whose body is an answer."""
+    answer = read_answer(reply)
+    if answer is None:
+        print_error(f"the reply with status {reply.status} is no answer")
+        return ExitCode.UNKNOWN
+    if answer.error is not None:
+        print_error(f"{answer.outcome.value}: {answer.error.message!a}")
+    return OUTCOME_EXIT_CODES[answer.outcome]
+
+
+def report_exit_code(reply: EntryReply) -> ExitCode:
+    """Returns the exit code for a reply whose body is a report, or an answer if not."""
+    if reply.status == OK_STATUS:
+        return ExitCode.DONE
+    return answer_exit_code(reply)
--- /dev/null
+++ b/src/jackdawkeel/console/usage.py
@@ -0,0 +1,45 @@
+"""Turns what the user got wrong into usage errors."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import TypeVar
+
+from result import Err
+from result import Result
+
+from .command import UsageError
+
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from ..setting_values import SettingError
+
+
+Value = TypeVar("Value")
+
+
+def require_settings(settings: Result[Value, SettingError]) -> Value:
+    """Returns the settings.
+
+    Raises:
+        UsageError: If one is missing or bad.
+    """
+    if isinstance(settings, Err):
+        raise UsageError(str(settings.err_value))
+    return settings.ok_value
+
+
+def require_file(path: Path) -> bytes:
+    """Reads a file that the user named.
+
+    Raises:
+        UsageError: If it can't be read.
+    """
+    try:
+        return path.read_bytes()
+    except OSError as error:
+        raise UsageError(f"can't read {str(path)!a}: {error.strerror}") from None
+    except ValueError:
+        raise UsageError(f"{str(path)!a} is no file name") from None
--- a/src/jackdawkeel/settings.py
+++ b/src/jackdawkeel/settings.py
@@ -29,6 +29,7 @@
 MAX_CONNECTIONS = 100_000
 DEFAULT_TIMEOUT_MS = 75_000
 MAX_TIMEOUT_MS = 7_200_000
+MS_PER_S = 1000
 
 Value = TypeVar("Value")
 Flags = Mapping[str, str | None]
@@ -167,6 +168,11 @@
     entry: str
     timeout_ms: int = DEFAULT_TIMEOUT_MS
 
+    @property
+    def timeout_s(self) -> float:
+        """The longest wait for an answer, in seconds."""
+        return self.timeout_ms / MS_PER_S
+
 
 @as_result(SettingError)
 def read_entry_settings(flags: Flags, environment: Environment) -> EntrySettings:
--- /dev/null
+++ b/tests/console/fake_entry.py
@@ -0,0 +1,104 @@
+"""An HTTP server in the test's process that replies as an entry is told to."""
+
+from __future__ import annotations
+
+import threading
+from dataclasses import dataclass
+from dataclasses import field
+from http.server import BaseHTTPRequestHandler
+from http.server import ThreadingHTTPServer
+from typing import Self
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """What to reply to one request.
+
+    Attributes:
+        status: The HTTP status, or 0 to close the connection without a reply.
+        body: The body.
+        is_cut: Whether the connection closes in the middle of the body.
+    """
+
+    status: int
+    body: bytes = b""
+    is_cut: bool = False
+
+
+DROP = Reply(0)
+
+
+@dataclass(frozen=True, slots=True)
+class Received:
+    """A request that arrived."""
+
+    method: str
+    path: str
+    body: bytes
+
+
+@dataclass(slots=True)
+class FakeEntry:
+    """Gives the replies to requests in order, and the last one again and again.
+
+    Attributes:
+        replies: Replies by the start of ``METHOD /path``.
+        received: The requests that arrived.
+    """
+
+    replies: dict[str, list[Reply]]
+    received: list[Received] = field(default_factory=list)
+    url: str = ""
+    _server: ThreadingHTTPServer | None = None
+    _thread: threading.Thread | None = None
+
+    def __enter__(self) -> Self:
+        fake = self
+
+        class Handler(BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def handle_any(self) -> None:
+                """Records the request and replies."""
+                length = int(self.headers.get("Content-Length", 0))
+                body = self.rfile.read(length)
+                request = Received(self.command, self.path, body)
+                self.send(fake.take_reply(request))
+
+            def send(self, reply: Reply) -> None:
+                """Sends a reply, cuts it short, or closes the connection."""
+                self.close_connection = reply.is_cut or not reply.status
+                if not reply.status:
+                    return
+                self.send_response(reply.status)
+                extra = 1 if reply.is_cut else 0
+                self.send_header("Content-Length", str(len(reply.body) + extra))
+                self.end_headers()
+                self.wfile.write(reply.body)
+
+            do_GET = do_PUT = do_POST = handle_any  # noqa: N815
+
+            def log_message(self, format: str, *args: object) -> None:  # noqa: A002
+                """Logs nothing."""
+
+        self._server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+        self._server.daemon_threads = True
+        self.url = f"http://127.0.0.1:{self._server.server_port}"
+        self._thread = threading.Thread(target=self._server.serve_forever, args=(0.01,))
+        self._thread.start()
+        return self
+
+    def __exit__(self, *exception: object) -> None:
+        if self._server is not None and self._thread is not None:
+            self._server.shutdown()
+            self._server.server_close()
+            self._thread.join()
+
+    def take_reply(self, request: Received) -> Reply:
+        """Records a request and returns its reply."""
+        self.received.append(request)
+        line = f"{request.method} {request.path}"
+        for prefix, replies in self.replies.items():
+            if line.startswith(prefix):
+                return replies.pop(0) if len(replies) > 1 else replies[0]
+        return Reply(404)
--- a/tests/console/test_application.py
+++ b/tests/console/test_application.py
@@ -2,10 +2,7 @@
 
 from __future__ import annotations
 
-import contextlib
 import inspect
-import io
-import os
 import subprocess
 import sys
 import types
@@ -20,6 +17,8 @@
 from jackdawkeel.settings import EntrySettings
 from jackdawkeel.settings import Option
 
+from .calls import call
+
 
 ENTRY_WORDS = [
     "entry",
@@ -61,15 +60,6 @@
 ]
 
 
-@dataclass(slots=True)
-class Call:
-    """What one run of the command line did."""
-
-    code: int
-    output: str
-    errors: str
-
-
 @dataclass(slots=True)
 class Recorder:
     """Records the arguments with which commands are run."""
@@ -84,17 +74,6 @@
         return 0
 
 
-def call(*words: str, environment: dict[str, str] | None = None) -> Call:
-    """Runs the command line with captured output and this environment alone."""
-    output, errors = io.StringIO(), io.StringIO()
-    with contextlib.ExitStack() as stack:
-        stack.enter_context(contextlib.redirect_stdout(output))
-        stack.enter_context(contextlib.redirect_stderr(errors))
-        stack.enter_context(mock.patch.dict(os.environ, environment or {}, clear=True))
-        code = application.run(words)
-    return Call(int(code), output.getvalue(), errors.getvalue())
-
-
 class UsageTest(unittest.TestCase):
     """A wrong call ends with exit code 2 and one line on stderr."""
 
--- /dev/null
+++ b/tests/console/test_client_commands.py
@@ -0,0 +1,337 @@
+"""Tests of the commands that ask an entry: output, exit codes, repeated calls."""
+
+from __future__ import annotations
+
+import json
+import tempfile
+import unittest
+from pathlib import Path
+from unittest import mock
+
+import msgspec
+
+from jackdawkeel.answer import answer_done
+from jackdawkeel.answer import answer_error
+from jackdawkeel.answer import answer_running
+from jackdawkeel.answer import encode_answer
+from jackdawkeel.console import job_submission
+from jackdawkeel.errors import ERROR_TABLE
+from jackdawkeel.errors import DispatchError
+from jackdawkeel.errors import ErrorKind
+from jackdawkeel.errors import Outcome
+from jackdawkeel.status import AgentState
+from jackdawkeel.status import AgentStatus
+from jackdawkeel.status import EntryStatus
+from jackdawkeel.status import StatusReport
+from jackdawkeel.status import StoreStatus
+from jackdawkeel.status import TicketStatus
+from jackdawkeel.status import ZoneStatus
+
+from .calls import Call
+from .calls import call
+from .calls import refused_url
+from .calls import silent_url
+from .fake_entry import DROP
+from .fake_entry import FakeEntry
+from .fake_entry import Reply
+
+
+JOB_ID = "0123456789abcdef.1.00112233445566778899aabb"
+JOB = b'{"service": "nightly", "tasks": [{"payload": {"nights": [1, 2]}}]}'
+TICKET = b'{"availability_zones": {"west-1": {"in_service": false}}}'
+IDS = Reply(200, msgspec.json.encode({"ids": [JOB_ID]}))
+DONE = Reply(200, encode_answer(answer_done(JOB_ID, [b'{"sum": 3}'])))
+RUNNING = Reply(202, encode_answer(answer_running(JOB_ID)))
+EXIT_CODES = {
+    Outcome.DONE: 0,
+    Outcome.FAILED: 1,
+    Outcome.NOT_RUN: 3,
+    Outcome.UNKNOWN: 4,
+}
+
+
+def reply_error(kind: ErrorKind, job_id: str | None = JOB_ID) -> Reply:
+    """Returns the reply that an entry gives for an error."""
+    answer = answer_error(job_id, DispatchError(kind, "a clear sentence"))
+    return Reply(ERROR_TABLE[kind].status, encode_answer(answer))
+
+
+HOME_SILENT = reply_error(ErrorKind.HOME_SILENT)
+
+
+class ClientCommandTest(unittest.TestCase):
+    """Sets up files and removes the pauses between attempts."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.job = self.write("job.json", JOB)
+        self.ticket = self.write("ticket.json", TICKET)
+        patch = mock.patch("jackdawkeel.console.job_submission.time.sleep")
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def write(self, name: str, content: bytes) -> str:
+        """Writes a file and returns its path."""
+        path = self.folder / name
+        path.write_bytes(content)
+        return str(path)
+
+    def assert_one_error_line(self, done: Call) -> None:
+        """Asserts that standard error holds exactly one line."""
+        self.assertEqual(done.errors.count("\n"), 1, done.errors)
+        self.assertTrue(done.errors.startswith("jackdawkeel: "), done.errors)
+
+
+class SubmitJobTest(ClientCommandTest):
+    """A job is put under one id, again and again until its answer is final."""
+
+    def submit(self, replies: list[Reply], *words: str) -> tuple[Call, FakeEntry]:
+        """Submits the job to an entry that gives these replies to PUT."""
+        scripted = {"POST /v1/ids": [IDS], "PUT /v1/jobs/": replies}
+        with FakeEntry(scripted) as entry:
+            done = call("job", "submit", self.job, "--entry", entry.url, *words)
+        return done, entry
+
+    def test_done(self) -> None:
+        done, entry = self.submit([DONE])
+        self.assertEqual((done.code, done.errors), (0, ""))
+        self.assertEqual(json.loads(done.output)["results"], [{"sum": 3}])
+        ids, put = entry.received
+        self.assertEqual(json.loads(ids.body), {"service": "nightly", "count": 1})
+        self.assertEqual((put.path, put.body), (f"/v1/jobs/{JOB_ID}", JOB))
+
+    def test_given_id_is_used(self) -> None:
+        for words in (["--id", JOB_ID], [f"--id={JOB_ID}"]):
+            done, entry = self.submit([DONE], *words)
+            self.assertEqual(done.code, 0)
+            self.assertEqual(
+                [item.path for item in entry.received], [f"/v1/jobs/{JOB_ID}"]
+            )
+
+    def test_every_error_kind(self) -> None:
+        for kind, row in ERROR_TABLE.items():
+            with self.subTest(kind=kind):
+                reply = reply_error(kind)
+                done, _ = self.submit([reply])
+                self.assertEqual(done.code, EXIT_CODES[row.outcome])
+                self.assertEqual(done.output.encode(), reply.body + b"\n")
+                self.assert_one_error_line(done)
+
+    def test_lost_answers_are_asked_for_under_the_same_id(self) -> None:
+        cases: list[list[Reply]] = [
+            [DROP, DONE],
+            [DROP, DROP, DROP, DONE],
+            [Reply(200, b'{"id"', is_cut=True), DONE],
+            [HOME_SILENT, DONE],
+            [RUNNING, DONE],
+            [HOME_SILENT, DROP, RUNNING, DONE],
+        ]
+        for replies in cases:
+            with self.subTest(replies=replies):
+                done, entry = self.submit(list(replies))
+                self.assertEqual((done.code, done.errors), (0, ""))
+                puts = [item for item in entry.received if item.method == "PUT"]
+                self.assertEqual(len(puts), len(replies))
+                self.assertEqual({item.path for item in puts}, {f"/v1/jobs/{JOB_ID}"})
+                self.assertEqual(len(entry.received) - len(puts), 1)
+
+    def test_attempts_are_bounded(self) -> None:
+        for reply in (DROP, HOME_SILENT, RUNNING):
+            with self.subTest(reply=reply):
+                done, entry = self.submit([reply])
+                self.assertEqual(done.code, 4)
+                puts = len(entry.received) - 1
+                self.assertEqual(puts, job_submission.MAX_ATTEMPTS)
+
+    def test_conflict_is_not_repeated(self) -> None:
+        done, entry = self.submit([reply_error(ErrorKind.CONFLICT)])
+        self.assertEqual((done.code, len(entry.received)), (4, 2))
+
+    def test_lost_answer_is_unknown_and_names_the_id(self) -> None:
+        done, _ = self.submit([DROP])
+        self.assertEqual((done.code, done.output), (4, ""))
+        self.assert_one_error_line(done)
+        self.assertIn(JOB_ID, done.errors)
+
+    def test_not_run_after_a_lost_answer_is_believed(self) -> None:
+        done, _ = self.submit([DROP, reply_error(ErrorKind.NO_TARGET)])
+        self.assertEqual(done.code, 3)
+
+    def test_reply_that_is_no_answer_is_unknown(self) -> None:
+        for body in (b"", b"<html>", b"\xff", b'{"id": 1}', b"[" * 100_000):
+            with self.subTest(body=body[:10]):
+                done, entry = self.submit([Reply(502, body)])
+                self.assertEqual((done.code, len(entry.received)), (4, 2))
+                self.assert_one_error_line(done)
+
+    def test_without_an_id_nothing_ran(self) -> None:
+        refusal = reply_error(ErrorKind.NO_SUCH_SERVICE, None)
+        for reply in (refusal, DROP, Reply(200, b"{}"), Reply(200, b'{"ids": []}')):
+            with self.subTest(reply=reply), FakeEntry({"POST": [reply]}) as entry:
+                done = call("job", "submit", self.job, "--entry", entry.url)
+                self.assertEqual(done.code, 3)
+                self.assert_one_error_line(done)
+                self.assertEqual({item.method for item in entry.received}, {"POST"})
+
+    def test_refused_connection(self) -> None:
+        with refused_url() as url:
+            done = call("job", "submit", self.job, "--entry", url)
+            again = call("job", "submit", self.job, "--entry", url, "--id", JOB_ID)
+        self.assertEqual((done.code, again.code), (3, 4))
+        self.assert_one_error_line(done)
+        self.assert_one_error_line(again)
+
+    def test_silent_entry_is_given_up_after_the_timeout(self) -> None:
+        with silent_url() as url:
+            words = [self.job, "--entry", url, "--timeout-ms", "200"]
+            done = call("job", "submit", *words, "--id", JOB_ID)
+        self.assertEqual((done.code, done.output), (4, ""))
+        self.assert_one_error_line(done)
+
+    def test_bad_job_file_is_refused_here(self) -> None:
+        cases = [b"", b"{", b"\xff", b'{"service": "a", "tasks": []}', b'{"x": 1}']
+        for content in cases:
+            with self.subTest(content=content), FakeEntry({}) as entry:
+                path = self.write("bad.json", content)
+                done = call("job", "submit", path, "--entry", entry.url)
+                self.assertEqual((done.code, entry.received), (3, []))
+                self.assertEqual(json.loads(done.output)["outcome"], "not_run")
+                self.assert_one_error_line(done)
+
+    def test_wrong_usage(self) -> None:
+        cases = [
+            [str(self.folder / "missing.json"), "--entry", "http://127.0.0.1:1"],
+            [str(self.folder), "--entry", "http://127.0.0.1:1"],
+            ["nul\0byte", "--entry", "http://127.0.0.1:1"],
+            [self.job],
+            [self.job, "--entry", "127.0.0.1:1"],
+            [self.job, "--entry", "http://127.0.0.1:1", "--timeout-ms", "0"],
+        ]
+        for words in cases:
+            with self.subTest(words=words):
+                done = call("job", "submit", *words)
+                self.assertEqual((done.code, done.output), (2, ""))
+                self.assert_one_error_line(done)
+
+
+class TicketTest(ClientCommandTest):
+    """A ticket is sent once; its answer decides the exit code."""
+
+    def submit(self, reply: Reply) -> tuple[Call, FakeEntry]:
+        """Submits ticket 7 to an entry that gives this reply."""
+        with FakeEntry({"PUT /v1/tickets/7": [reply]}) as entry:
+            done = call("ticket", "submit", "7", self.ticket, "--entry", entry.url)
+        return done, entry
+
+    def test_accepted(self) -> None:
+        status = msgspec.json.encode(TicketStatus(ticket=7, accepted=True, revision=9))
+        done, entry = self.submit(Reply(200, status))
+        self.assertEqual((done.code, done.errors), (0, ""))
+        self.assertEqual(done.output.encode(), status + b"\n")
+        self.assertEqual([item.body for item in entry.received], [TICKET])
+
+    def test_refused_or_unknown(self) -> None:
+        cases = [
+            (ErrorKind.SUPERSEDED, 3),
+            (ErrorKind.STORE_UNAVAILABLE, 3),
+            (ErrorKind.BAD_REQUEST, 3),
+            (ErrorKind.TICKET_UNKNOWN, 4),
+        ]
+        for kind, code in cases:
+            with self.subTest(kind=kind):
+                done, _ = self.submit(reply_error(kind, None))
+                self.assertEqual(done.code, code)
+                self.assertIn(kind.value, done.output)
+                self.assert_one_error_line(done)
+
+    def test_lost_answer_is_unknown_and_not_repeated(self) -> None:
+        done, entry = self.submit(DROP)
+        self.assertEqual((done.code, len(entry.received)), (4, 1))
+        self.assert_one_error_line(done)
+
+    def test_refused_connection_was_not_sent(self) -> None:
+        with refused_url() as url:
+            submitted = call("ticket", "submit", "7", self.ticket, "--entry", url)
+            asked = call("ticket", "status", "7", "--entry", url)
+        self.assertEqual((submitted.code, asked.code), (3, 4))
+
+    def test_status(self) -> None:
+        status = msgspec.json.encode(
+            TicketStatus(7, True, 9, ["a"], not_yet=["b"], not_heard=["c"])
+        )
+        with FakeEntry({"GET /v1/tickets/7": [Reply(200, status)]}) as entry:
+            done = call("ticket", "status", "7", "--entry", entry.url)
+        self.assertEqual((done.code, done.errors), (0, ""))
+        self.assertEqual(json.loads(done.output)["not_heard"], ["c"])
+
+    def test_status_of_no_ticket(self) -> None:
+        reply = reply_error(ErrorKind.NO_SUCH_TICKET, None)
+        with FakeEntry({"GET /v1/tickets/7": [reply]}) as entry:
+            done = call("ticket", "status", "7", "--entry", entry.url)
+        self.assertEqual(done.code, 3)
+
+    def test_wrong_numbers(self) -> None:
+        for number in ("0", "-1", "seven", "1.0", "1e3", "", str(2**53), "\u0667"):
+            with self.subTest(number=number):
+                words = [number, self.ticket, "--entry", "http://127.0.0.1:1"]
+                done = call("ticket", "submit", *words)
+                self.assertEqual(done.code, 2)
+                self.assert_one_error_line(done)
+
+
+class StatusTest(ClientCommandTest):
+    """The status is a table with a row for each agent, by availability zone."""
+
+    def test_table(self) -> None:
+        report = StatusReport(
+            entries=[
+                EntryStatus("e" * 16, "tcp://127.0.0.1:9001", is_self=True),
+                EntryStatus("f" * 16, "tcp://127.0.0.1:9002", False, 120),
+            ],
+            store=StoreStatus(reachable=False, confirmed_ms=4100, revision=12),
+            availability_zones=[
+                ZoneStatus("west-2", in_service=False, ticket=5),
+                ZoneStatus("west-1", in_service=True, ticket=0),
+            ],
+            agents=[
+                make_agent("west-2", AgentState.OUT_OF_SERVICE),
+                make_agent("west-1", AgentState.IN_SERVICE),
+            ],
+        )
+        body = msgspec.json.encode(report)
+        with FakeEntry({"GET /v1/status": [Reply(200, body)]}) as entry:
+            done = call("status", "--entry", entry.url)
+        self.assertEqual((done.code, done.errors), (0, ""))
+        expected = Path(__file__).parent.parent / "data" / "status.txt"
+        self.assertEqual(done.output, expected.read_text())
+
+    def test_no_status(self) -> None:
+        for reply in (Reply(503, b"{}"), Reply(200, b"{}"), Reply(200, b"x"), DROP):
+            with self.subTest(reply=reply), FakeEntry({"GET": [reply]}) as entry:
+                done = call("status", "--entry", entry.url)
+                self.assertEqual((done.code, done.output), (1, ""))
+                self.assert_one_error_line(done)
+
+
+def make_agent(availability_zone: str, state: AgentState) -> AgentStatus:
+    """Returns the status of an agent."""
+    return AgentStatus(
+        incarnation="0123456789abcdef",
+        link="tcp://127.0.0.1:9101",
+        availability_zone=availability_zone,
+        rack="r\n1",
+        target="http://127.0.0.1:8001",
+        services=["nightly", "register"],
+        slots=8,
+        connections=64,
+        running=3,
+        queued=1,
+        waiting=20,
+        completed=1500,
+        failed=2,
+        revision=12,
+        state=state,
+        heard_ms=430,
+    )
--- /dev/null
+++ b/tests/console/test_timeline.py
@@ -0,0 +1,94 @@
+"""Tests of the time line that merges the logs of several processes."""
+
+from __future__ import annotations
+
+import io
+import json
+import sys
+import unittest
+from pathlib import Path
+from unittest import mock
+
+from jackdawkeel.console.merged_events import merge_events
+from jackdawkeel.console.merged_events import parse_event
+from jackdawkeel.console.merged_events import render_event
+from jackdawkeel.events import EventName
+from jackdawkeel.logs import EventLog
+
+from .calls import call
+
+
+DATA = Path(__file__).parent.parent / "data"
+ENTRY_LOG = str(DATA / "entry.log")
+AGENT_LOG = str(DATA / "agent.log")
+DAMAGED_LINES = [
+    b"not JSON",
+    b"[]",
+    b"{}",
+    b'{"timestamp": 1.0}',
+    b'{"message_type": "ready"}',
+    b'{"timestamp": "1.0", "message_type": "ready"}',
+    b'{"timestamp": 1e300, "message_type": "ready"}',
+    b'{"timestamp": 1e999, "message_type": "ready"}',
+    b'{"timestamp": NaN, "message_type": "ready"}',
+    b'{"timestamp": 1.0, "message_type": 3}',
+    b'{"timestamp": 1.0, "message_type": "ready", "process": null}',
+    b'{"timestamp": 1.0, "message_type": "ready"',
+    b'{"timestamp": 1.0, "message_type": "\xff"}',
+    b"[" * 100_000,
+]
+
+
+class MergeTest(unittest.TestCase):
+    """Events are ordered by time over all logs; damaged lines are only counted."""
+
+    def test_logs_of_two_processes(self) -> None:
+        done = call("timeline", ENTRY_LOG, AGENT_LOG)
+        self.assertEqual(done.code, 0)
+        self.assertEqual(done.output, (DATA / "timeline.txt").read_text())
+        self.assertEqual(done.errors, "jackdawkeel: 2 damaged lines were ignored\n")
+
+    def test_standard_input(self) -> None:
+        stream = io.TextIOWrapper(io.BytesIO(Path(AGENT_LOG).read_bytes()))
+        with mock.patch.object(sys, "stdin", stream):
+            done = call("timeline", ENTRY_LOG, "-")
+        self.assertEqual(done.output, (DATA / "timeline.txt").read_text())
+
+    def test_order_of_logs_decides_between_equal_times(self) -> None:
+        lines = [
+            json.dumps({"timestamp": 5, "message_type": name}).encode()
+            for name in ("a", "b")
+        ]
+        for order in (lines, lines[::-1]):
+            merged = merge_events([[line] for line in order])
+            names = [event.line.message_type for event in merged.events]
+            self.assertEqual(
+                names, [json.loads(line)["message_type"] for line in order]
+            )
+
+    def test_damaged_lines(self) -> None:
+        for line in DAMAGED_LINES:
+            with self.subTest(line=line[:60]):
+                self.assertIsNone(parse_event(line))
+        merged = merge_events([[*DAMAGED_LINES, b"", b"  \n"]])
+        self.assertEqual(merged.events, [])
+        self.assertEqual(merged.damaged, len(DAMAGED_LINES))
+
+    def test_every_event_is_one_line(self) -> None:
+        lines: list[bytes] = []
+        log = EventLog("agent", "0123456789abcdef", "we st", lines.append)
+        values = ["", "a b", "a\nb", "\x85", "\u2028", 'q"', "a=b", None, [1], {"a": 1}]
+        for value in values:
+            log.record(EventName.INTERNAL_ERROR, odd=value)
+        events = merge_events([lines]).events
+        self.assertEqual(len(events), len(values))
+        for event in events:
+            text = render_event(event)
+            self.assertTrue(text.isprintable(), ascii(text))
+            self.assertIn(" internal_error odd=", text)
+
+    def test_log_that_cannot_be_read(self) -> None:
+        for path in (str(DATA / "missing.log"), str(DATA)):
+            done = call("timeline", ENTRY_LOG, path)
+            self.assertEqual((done.code, done.output), (2, ""))
+            self.assertEqual(done.errors.count("\n"), 1)
