Import the daemons as typed modules

Cause: the commands ignored types because the daemons did not exist; now they do. The import test loads the agent's daemon too.

--- a/src/jackdawkeel/console/commands/agent.py
+++ b/src/jackdawkeel/console/commands/agent.py
@@ -41,9 +41,9 @@
     settings = require_settings(read_agent_settings(flags, os.environ))
 
     # Agents do not load what only entries need, such as CherryPy.
-    from ...agent.daemon import run_agent  # type: ignore[import-not-found, unused-ignore]
+    from ...agent.daemon import run_agent
 
-    return int(run_agent(settings))
+    return run_agent(settings)
 
 
 COMMAND = Command(
--- a/src/jackdawkeel/console/commands/entry.py
+++ b/src/jackdawkeel/console/commands/entry.py
@@ -34,9 +34,9 @@
     }
     settings = require_settings(read_entry_settings(flags, os.environ))
 
-    from ...entry.daemon import run_entry  # type: ignore[import-not-found, unused-ignore]
+    from ...entry.daemon import run_entry
 
-    return int(run_entry(settings))
+    return run_entry(settings)
 
 
 COMMAND = Command(
--- a/tests/console/test_application.py
+++ b/tests/console/test_application.py
@@ -177,10 +177,11 @@
 class ImportTest(unittest.TestCase):
     """An agent, whose worker has little memory, loads only what it needs."""
 
-    def test_command_line_loads_no_server(self) -> None:
+    def test_agent_loads_no_server(self) -> None:
         script = (
             "import sys\n"
             "from jackdawkeel.console import application\n"
+            "from jackdawkeel.agent import daemon\n"
             "print([name for name in sys.modules if name in "
             "('cherrypy', 'cheroot', 'IPython', 'numpy')])"
         )
