Learn run times, refuse early, hedge stragglers and share quotas

Cause: the policy functions were measured by themselves but not in force. Homes now learn each service's run time from reports, refuse a job whose expected wait exceeds its deadline or the service's bound, retry idempotent tasks elsewhere within a budget, and send a second copy of an idempotent straggler. Entries exchange the demand of teams with their probes once a second and refuse above their part of a quota. Ruled out: retrying an overloaded home at up to two others, which triples the cost of refusals just when all are full.

--- a/src/jackdawkeel/agent/daemon.py
+++ b/src/jackdawkeel/agent/daemon.py
@@ -40,7 +40,6 @@
     from ..messages import HeartbeatReply
     from ..messages import Message
     from ..settings import AgentSettings
-    from ..target.client import TargetResult
 
 
 TICK_S = 0.05
@@ -156,10 +155,7 @@
             permit_expires_at,
             timeout_s,
         )
-        self.loop.call_soon_threadsafe(self._take_result, record, result)
-
-    def _take_result(self, record: TaskRecord, result: TargetResult) -> None:
-        self.execution.handle_result(record, result.state, result.body, result.reason)
+        self.loop.call_soon_threadsafe(self.execution.handle_result, record, result)
 
     def apply_heartbeat_reply(self, sender: PeerAddress, reply: HeartbeatReply) -> None:
         """Takes configuration, lease, entries and peers from an entry."""
--- a/src/jackdawkeel/agent/refusals.py
+++ b/src/jackdawkeel/agent/refusals.py
@@ -6,6 +6,7 @@
 
 from ..errors import DispatchError
 from ..errors import ErrorKind
+from ..policy.admission_estimate import find_refusal
 
 
 if TYPE_CHECKING:
@@ -29,4 +30,15 @@
     if agent.dispatch.count_waiting() > MAX_WAITING_TASKS:
         text = "too many tasks wait at the home of this id"
         return DispatchError(ErrorKind.OVERLOADED, text)
-    return None
+    return find_load_refusal(agent, message)
+
+
+def find_load_refusal(agent: Agent, message: SubmitJob) -> DispatchError | None:
+    """Returns why the job would wait too long, or None."""
+    service = agent.configuration.configuration.services.get(message.service)
+    return find_refusal(
+        agent.dispatch.measure_load(message.service),
+        len(message.payloads),
+        message.deadline_ms,
+        None if service is None else service.state.max_queue_ms,
+    )
--- a/src/jackdawkeel/controllers/dispatch.py
+++ b/src/jackdawkeel/controllers/dispatch.py
@@ -3,12 +3,9 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass
-from dataclasses import field
 from typing import TYPE_CHECKING
 
 from ..answer import Answer
-from ..answer import TaskCounts
 from ..answer import answer_done
 from ..answer import answer_error
 from ..errors import DispatchError
@@ -16,10 +13,16 @@
 from ..events import EventName
 from ..messages import CancelTasks
 from ..messages import DispatchTasks
-from ..messages import SettleTasks
 from ..messages import TaskDispatch
-from ..messages import TaskQuery
+from ..policy.admission_estimate import ServiceLoad
+from ..policy.hedging import take_hedge
+from ..policy.retry_budget import note_first_attempt
+from ..policy.retry_budget import take_second_attempt
 from ..task_state import TaskState
+from .job import Dispatch
+from .job import Job
+from .service_stats import ServiceStats
+from .silence import SilenceController
 
 
 if TYPE_CHECKING:
@@ -36,69 +39,10 @@
     from .peers import PeerController
 
 
-QUERY_AFTER_S = 1.0
-REDIAL_AFTER_S = 0.8
-GONE_AFTER_S = 6.0
 REFUSED_BACKOFF_S = 0.1
 MAX_CLOCK_GAP_S = 1.0
 MAX_ATTEMPTS = 3
-
-
-@dataclass(slots=True, eq=False)
-class Job:
-    """A job at home here.
-
-    Attributes:
-        job_id: Its id.
-        service: The service of its tasks.
-        payloads: JSON payload of each task.
-        idempotent: Whether a started task may be started again.
-        expires_at: Its deadline, in seconds of the clock.
-        results: Each task's result, None where there is none yet.
-        waiting: Tasks that are to be dispatched, next first.
-        attempts: How often each task ended badly.
-        outstanding: Number of dispatches that have no result.
-        done: Number of results.
-        ever_running: Whether some task may have started.
-    """
-
-    job_id: str
-    service: str
-    payloads: list[bytes]
-    idempotent: bool
-    expires_at: float
-    results: list[bytes | None]
-    waiting: deque[int]
-    attempts: dict[int, int] = field(default_factory=dict)
-    outstanding: set[int] = field(default_factory=set)
-    done: int = 0
-    failed: int = 0
-    unknown: int = 0
-
-    def count_tasks(self) -> TaskCounts:
-        """Returns the counts for an answer; what is still out counts as unknown."""
-        unknown = self.unknown + len(self.outstanding)
-        not_started = len(self.payloads) - self.done - self.failed - unknown
-        return TaskCounts(self.done, self.failed, unknown, not_started)
-
-
-@dataclass(slots=True, eq=False)
-class Dispatch:
-    """One task that is out at an agent.
-
-    Attributes:
-        number: Its dispatch number.
-        job: The job.
-        index: The task's place in the job.
-        peer: The executing agent.
-        heard_at: When it was sent or last reported, in seconds of the clock.
-    """
-
-    number: int
-    job: Job
-    index: int
-    peer: Peer
-    heard_at: float
+MS_PER_S = 1000
 
 
 class DispatchController:
@@ -128,8 +72,11 @@
         self.log = log
         self.peers = peers
         self.send = send
-        self.redial = redial
         self.finish = finish
+        self.silence = SilenceController(
+            send=send, redial=redial, find_oldest_open=self.find_oldest_open
+        )
+        self.services: dict[str, ServiceStats] = {}
         self.jobs: dict[str, Job] = {}
         self.ready: deque[Job] = deque()
         self.dispatches: dict[int, Dispatch] = {}
@@ -156,6 +103,19 @@
         """Returns the number of tasks that are not yet dispatched."""
         return sum(len(job.waiting) for job in self.jobs.values())
 
+    def measure_load(self, service: str) -> ServiceLoad:
+        """Returns the load of a service as far as this home knows it."""
+        capacity = self.peers.measure_capacity(service)
+        own_waiting = sum(
+            len(job.waiting) for job in self.jobs.values() if job.service == service
+        )
+        return ServiceLoad(
+            slots=capacity.slots,
+            running=capacity.held,
+            waiting=capacity.waiting_elsewhere + own_waiting,
+            run_time=self.find_stats(service).run_time,
+        )
+
     def cancel_job(self, job_id: str) -> None:
         """Ends a job; what has not started never will."""
         job = self.jobs.get(job_id)
@@ -205,13 +165,16 @@
                 continue
             peer = None
             if job.service not in blocked:
-                peer = self.peers.choose(job.service)
+                avoided = job.avoided.get(job.waiting[0])
+                peer = self.peers.choose(job.service, avoided)
             if peer is None:
                 blocked.add(job.service)
                 idle_turns += 1
                 continue
             idle_turns = 0
             task = self._open(job, job.waiting.popleft(), peer)
+            note_first_attempt(self.find_stats(job.service).hedges)
+            note_first_attempt(self.find_stats(job.service).retries)
             batches.setdefault(peer.incarnation, []).append(task)
         for incarnation, tasks in batches.items():
             self._send_batch(incarnation, tasks)
@@ -231,60 +194,54 @@
                     ErrorKind.DEADLINE_BEFORE_START,
                     "the deadline passed",
                 )
+            elif job.idempotent:
+                self._hedge(job, now)
         for peer in self.peers.list_all():
-            self._tend_peer(peer, now)
+            if self.silence.tend(peer, now):
+                self.handle_gone(peer.incarnation)
         self.dispatch_ready()
 
+    def find_oldest_open(self, peer: Peer) -> int:
+        """Returns the lowest dispatch number that is open at a peer."""
+        return next(iter(peer.outstanding), self.next_number)
+
     def _shift_timers(self, gap: float) -> None:
         for dispatch in self.dispatches.values():
             dispatch.heard_at += gap
+            dispatch.sent_at += gap
         for peer in self.peers.list_all():
             peer.asked_at = None
 
-    def _tend_peer(self, peer: Peer, now: float) -> None:
-        if peer.asked_at is not None and peer.heard_at >= peer.asked_at:
-            peer.asked_at = None
-        if peer.asked_at is not None and now - peer.asked_at > GONE_AFTER_S:
-            self.handle_gone(peer.incarnation)
-            return
-        silent = [
-            dispatch.number
-            for dispatch in peer.outstanding.values()
-            if now - dispatch.heard_at >= QUERY_AFTER_S
-        ]
-        if silent and now - peer.queried_at >= REDIAL_AFTER_S:
-            self._query(peer, silent, now)
-        elif peer.unsettled and now - peer.sent_at >= QUERY_AFTER_S:
-            self._settle(peer, now)
-
-    def _query(self, peer: Peer, numbers: list[int], now: float) -> None:
-        if peer.asked_at is not None:
-            self.redial(peer.status.address.link)
-        else:
-            peer.asked_at = now
-        peer.queried_at = now
-        self._note_sent(peer, now)
-        self.send(peer.status.address, TaskQuery(self._find_oldest_open(peer), numbers))
-
-    def _settle(self, peer: Peer, now: float) -> None:
-        self._note_sent(peer, now)
-        self.send(peer.status.address, SettleTasks(self._find_oldest_open(peer)))
-
-    def _note_sent(self, peer: Peer, now: float) -> None:
-        peer.sent_at = now
-        peer.unsettled = False
+    def _hedge(self, job: Job, now: float) -> None:
+        stats = self.find_stats(job.service)
+        for dispatch in list(job.outstanding.values()):
+            copies = sum(
+                other.index == dispatch.index for other in job.outstanding.values()
+            )
+            elapsed_ms = (now - dispatch.sent_at) * MS_PER_S
+            peer = self.peers.choose(job.service, dispatch.peer.incarnation)
+            if peer is None or peer is dispatch.peer:
+                continue
+            if take_hedge(True, copies, elapsed_ms, stats.run_time, stats.hedges):
+                task = self._open(job, dispatch.index, peer)
+                self._send_batch(peer.incarnation, [task])
 
-    def _find_oldest_open(self, peer: Peer) -> int:
-        return next(iter(peer.outstanding), self.next_number)
+    def find_stats(self, service: str) -> ServiceStats:
+        """Returns what was learned of a service."""
+        stats = self.services.get(service)
+        if stats is None:
+            stats = self.services[service] = ServiceStats()
+        return stats
 
     def _open(self, job: Job, index: int, peer: Peer) -> TaskDispatch:
         number = self.next_number
         self.next_number += 1
         now = self.clock()
-        dispatch = Dispatch(number, job, index, peer, now)
+        is_copy = job.has_copy_out(index)
+        dispatch = Dispatch(number, job, index, peer, now, now, is_copy)
         self.dispatches[number] = dispatch
         peer.outstanding[number] = dispatch
-        job.outstanding.add(number)
+        job.outstanding[number] = dispatch
         return TaskDispatch(
             number=number,
             job_id=job.job_id,
@@ -304,15 +261,14 @@
             job=tasks[0].job_id,
             count=len(tasks),
         )
-        self._note_sent(peer, self.clock())
-        self.send(
-            peer.status.address, DispatchTasks(self._find_oldest_open(peer), tasks)
-        )
+        peer.note_sent(self.clock())
+        oldest_open = self.find_oldest_open(peer)
+        self.send(peer.status.address, DispatchTasks(oldest_open, tasks))
 
     def _close(self, dispatch: Dispatch) -> None:
         del self.dispatches[dispatch.number]
         del dispatch.peer.outstanding[dispatch.number]
-        dispatch.job.outstanding.discard(dispatch.number)
+        dispatch.job.outstanding.pop(dispatch.number, None)
         dispatch.peer.unsettled = True
 
     def _handle_report(self, dispatch: Dispatch, report: TaskReport) -> None:
@@ -322,6 +278,7 @@
             return
         self._close(dispatch)
         if state is TaskState.DONE:
+            self.find_stats(dispatch.job.service).observe(report.run_ms)
             self._record_result(dispatch, report.body)
         elif state is TaskState.NOT_STARTED:
             self.peers.back_off(dispatch.peer, REFUSED_BACKOFF_S)
@@ -339,23 +296,31 @@
         job.done += 1
         if job.done == len(job.payloads):
             results = [result for result in job.results if result is not None]
+            self._withdraw(job)
             self._finish(job, answer_done(job.job_id, results))
 
     def _requeue(self, dispatch: Dispatch) -> None:
         job = dispatch.job
-        if job.job_id not in self.jobs:
+        if job.job_id not in self.jobs or not self._is_wanted(dispatch):
             return
         job.waiting.appendleft(dispatch.index)
         if job not in self.ready:
             self.ready.append(job)
 
+    def _is_wanted(self, dispatch: Dispatch) -> bool:
+        job = dispatch.job
+        has_result = job.results[dispatch.index] is not None
+        return not has_result and not job.has_copy_out(dispatch.index)
+
     def _retry_or_fail(self, dispatch: Dispatch, kind: ErrorKind, reason: str) -> None:
         job = dispatch.job
         if job.job_id not in self.jobs:
             return
-        attempts = job.attempts.get(dispatch.index, 0) + 1
-        job.attempts[dispatch.index] = attempts
-        if job.idempotent and attempts < MAX_ATTEMPTS:
+        job.attempts[dispatch.index] = job.attempts.get(dispatch.index, 0) + 1
+        job.avoided[dispatch.index] = dispatch.peer.incarnation
+        if not self._is_wanted(dispatch):
+            return
+        if self._may_retry(dispatch):
             self._requeue(dispatch)
             return
         if kind is ErrorKind.TASK_FAILED:
@@ -367,11 +332,16 @@
         answer = answer_error(job.job_id, error, job.count_tasks())
         self._finish(job, answer)
 
+    def _may_retry(self, dispatch: Dispatch) -> bool:
+        job = dispatch.job
+        if not job.idempotent or job.attempts[dispatch.index] >= MAX_ATTEMPTS:
+            return False
+        return take_second_attempt(self.find_stats(job.service).retries)
+
     def _end_early(
         self, job: Job, kind: ErrorKind, kind_before_start: ErrorKind, message: str
     ) -> None:
-        has_started = bool(job.done or job.outstanding or job.attempts)
-        chosen = kind if has_started else kind_before_start
+        chosen = kind if job.has_started() else kind_before_start
         self._withdraw(job)
         counts = job.count_tasks()
         error = DispatchError(chosen, message)
@@ -381,14 +351,13 @@
         job.waiting.clear()
         numbers_by_peer: dict[str, list[int]] = {}
         for number in job.outstanding:
-            peer = self.dispatches[number].peer
-            numbers_by_peer.setdefault(peer.incarnation, []).append(number)
+            incarnation = self.dispatches[number].peer.incarnation
+            numbers_by_peer.setdefault(incarnation, []).append(number)
         for incarnation, numbers in numbers_by_peer.items():
-            peer_or_none = self.peers.find(incarnation)
-            if peer_or_none is not None:
-                oldest_open = self._find_oldest_open(peer_or_none)
-                message = CancelTasks(oldest_open, numbers)
-                self.send(peer_or_none.status.address, message)
+            peer = self.peers.find(incarnation)
+            if peer is not None:
+                message = CancelTasks(self.find_oldest_open(peer), numbers)
+                self.send(peer.status.address, message)
 
     def _finish(self, job: Job, answer: Answer) -> None:
         del self.jobs[job.job_id]
--- a/src/jackdawkeel/controllers/execution.py
+++ b/src/jackdawkeel/controllers/execution.py
@@ -24,10 +24,12 @@
     from ..messages import PeerAddress
     from ..messages import TaskDispatch
     from ..messages import TaskQuery
+    from ..target.client import TargetResult
 
 
 MAX_KEPT_RESULT_BYTES = 16 * 1024 * 1024
 HOME_SILENCE_S = 600.0
+MS_PER_S = 1000
 
 
 @dataclass(slots=True, eq=False)
@@ -41,6 +43,7 @@
         state: None while it waits in the queue.
         body: The target's answer if the state is done.
         reason: One sentence if it did not end well.
+        run_ms: How long the target took, in milliseconds.
     """
 
     task: TaskDispatch
@@ -49,6 +52,7 @@
     state: TaskState | None = None
     body: bytes = b""
     reason: str = ""
+    run_ms: float = 0.0
 
 
 @dataclass(slots=True, eq=False)
@@ -148,12 +152,11 @@
         """Drops the records that a home has settled."""
         self._hear_home(home, oldest_open)
 
-    def handle_result(
-        self, record: TaskRecord, state: TaskState, body: bytes, reason: str
-    ) -> None:
+    def handle_result(self, record: TaskRecord, result: TargetResult) -> None:
         """Takes what the target client says of a started task."""
         self.running -= 1
-        self._end(record, state, body=body, reason=reason)
+        record.run_ms = result.elapsed_s * MS_PER_S
+        self._end(record, result.state, body=result.body, reason=result.reason)
         self.start_ready()
         self._send_reports(self.homes[record.home.incarnation])
 
@@ -270,7 +273,9 @@
             reason = "it has not arrived"
             return TaskReport(number, TaskState.NOT_STARTED.value, reason=reason)
         state = record.state or TaskState.RUNNING
-        return TaskReport(number, state.value, record.body, record.reason)
+        return TaskReport(
+            number, state.value, record.body, record.reason, record.run_ms
+        )
 
     def _send_reports(self, records: HomeRecords) -> None:
         if not records.unsent:
--- a/src/jackdawkeel/controllers/peers.py
+++ b/src/jackdawkeel/controllers/peers.py
@@ -17,7 +17,7 @@
     from ..clock import Clock
     from ..messages import PeerStatus
     from ..messages import TaskReports
-    from .dispatch import Dispatch
+    from .job import Dispatch
 
 
 QUEUE_ALLOWANCE = 2
@@ -57,6 +57,26 @@
         """The agent's incarnation."""
         return self.status.address.incarnation
 
+    def note_sent(self, now: float) -> None:
+        """Notes that a message with the oldest open number goes to the peer."""
+        self.sent_at = now
+        self.unsettled = False
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceCapacity:
+    """The capacity of a service over all peers in service.
+
+    Attributes:
+        slots: Tasks that their targets run at once.
+        held: Tasks that run or wait at them.
+        waiting_elsewhere: Tasks that wait at other homes, as last reported.
+    """
+
+    slots: int
+    held: int
+    waiting_elsewhere: int
+
 
 class PeerController:
     """Keeps the peers and chooses among them."""
@@ -124,14 +144,40 @@
             for peer in self.peers.values()
         )
 
-    def choose(self, service: str) -> Peer | None:
-        """Returns the peer for the next task of a service, or None if all are full."""
+    def measure_capacity(self, service: str) -> ServiceCapacity:
+        """Returns the slots of a service and what holds them, in service only."""
+        slots = held = waiting_elsewhere = 0
+        for peer in self.peers.values():
+            status = peer.status
+            if service not in status.services:
+                continue
+            if not self.is_zone_in_service(status.availability_zone):
+                continue
+            slots += status.slots
+            held += len(peer.outstanding) + peer.reported
+            if peer is not self.own:
+                waiting_elsewhere += status.load.waiting
+        return ServiceCapacity(slots, held, waiting_elsewhere)
+
+    def choose(self, service: str, avoided: str | None = None) -> Peer | None:
+        """Chooses the peer for the next task of a service.
+
+        Args:
+            service: Name of the service.
+            avoided: Incarnation that is chosen only if there is no other, or None.
+
+        Returns:
+            The peer, or None if all are full.
+        """
         now = self.clock()
         candidates = [
             self._describe(peer)
             for peer in self.peers.values()
             if self._may_get_work(peer, service, now)
         ]
+        if avoided is not None:
+            others = [one for one in candidates if one.incarnation != avoided]
+            candidates = others or candidates
         own = self.own.status
         chosen = choose_executor(
             candidates,
--- /dev/null
+++ b/src/jackdawkeel/controllers/silence.py
@@ -0,0 +1,70 @@
+"""What a home asks executing agents that are silent, and when it gives them up."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..messages import SettleTasks
+from ..messages import TaskQuery
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..messages import Message
+    from ..messages import PeerAddress
+    from .peers import Peer
+
+
+QUERY_AFTER_S = 1.0
+QUERY_INTERVAL_S = 0.8
+GONE_AFTER_S = 6.0
+
+
+class SilenceController:
+    """Queries peers that owe a report, over a new connection the second time."""
+
+    def __init__(
+        self,
+        *,
+        send: Callable[[PeerAddress, Message], None],
+        redial: Callable[[str], None],
+        find_oldest_open: Callable[[Peer], int],
+    ) -> None:
+        """Describes the controller.
+
+        Args:
+            send: Sends a message to a process.
+            redial: Replaces the connection to a link address.
+            find_oldest_open: Returns the lowest dispatch number open at a peer.
+        """
+        self.send = send
+        self.redial = redial
+        self.find_oldest_open = find_oldest_open
+
+    def tend(self, peer: Peer, now: float) -> bool:
+        """Asks or settles with a peer if it is time; returns whether it is gone."""
+        if peer.asked_at is not None and now - peer.asked_at > GONE_AFTER_S:
+            return True
+        silent = [
+            dispatch.number
+            for dispatch in peer.outstanding.values()
+            if now - dispatch.heard_at >= QUERY_AFTER_S
+        ]
+        if silent and now - peer.queried_at >= QUERY_INTERVAL_S:
+            self._query(peer, silent, now)
+        elif peer.unsettled and now - peer.sent_at >= QUERY_AFTER_S:
+            oldest_open = self.find_oldest_open(peer)
+            peer.note_sent(now)
+            self.send(peer.status.address, SettleTasks(oldest_open))
+        return False
+
+    def _query(self, peer: Peer, numbers: list[int], now: float) -> None:
+        if peer.asked_at is not None:
+            self.redial(peer.status.address.link)
+        else:
+            peer.asked_at = now
+        peer.queried_at = now
+        peer.note_sent(now)
+        oldest_open = self.find_oldest_open(peer)
+        self.send(peer.status.address, TaskQuery(oldest_open, numbers))
--- a/src/jackdawkeel/entry/daemon.py
+++ b/src/jackdawkeel/entry/daemon.py
@@ -23,6 +23,7 @@
 from ..metrics import HistogramName
 from ..metrics import Metrics
 from ..periodic import repeat_forever
+from ..policy.quota import QuotaState
 from ..store.etcd import EtcdStore
 from .heartbeats import answer_heartbeat
 from .http_server import HttpResponse
@@ -72,6 +73,7 @@
             log=log,
             deliver=self.deliver,
         )
+        self.quotas = QuotaState()
         self.forwarder = JobForwarder(
             clock=self.clock,
             send=self.node.send,
@@ -83,6 +85,7 @@
             clock=self.clock,
             configuration=self.configuration,
             roster=self.roster,
+            quotas=self.quotas,
             send=self.node.send,
             redial=self.node.redial,
             apply=self._apply_configuration,
--- a/src/jackdawkeel/entry/filters.py
+++ b/src/jackdawkeel/entry/filters.py
@@ -7,6 +7,7 @@
 
 from ..errors import DispatchError
 from ..errors import ErrorKind
+from ..policy.quota import request_starts
 
 
 if TYPE_CHECKING:
@@ -59,7 +60,29 @@
     return DispatchError(ErrorKind.NO_TARGET, text)
 
 
-JOB_FILTERS: tuple[JobFilter, ...] = (check_ready, check_service, check_target)
+def check_quota(entry: Entry, call: JobCall) -> DispatchError | None:
+    """Refuses jobs of a team that has used up this entry's part of its quota."""
+    team = call.request.team
+    if team is None:
+        return None
+    record = entry.configuration.document.teams.get(team)
+    if record is None:
+        return None
+    quota = record.state.quota
+    count = len(call.request.payloads)
+    wait_ms = request_starts(entry.quotas, team, quota, count, entry.clock())
+    if wait_ms is None:
+        return None
+    text = f"team {team} has used up its quota of {quota:g} task starts a second"
+    return DispatchError(ErrorKind.OVER_QUOTA, text, wait_ms)
+
+
+JOB_FILTERS: tuple[JobFilter, ...] = (
+    check_ready,
+    check_service,
+    check_target,
+    check_quota,
+)
 
 ENTRY_ONLY_KINDS = frozenset({ErrorKind.ENTRY_NOT_READY, ErrorKind.NO_SUCH_SERVICE})
 
--- a/src/jackdawkeel/entry/jobs.py
+++ b/src/jackdawkeel/entry/jobs.py
@@ -37,9 +37,7 @@
 MAX_KEY_LENGTH = 200
 MAX_OWN_ATTEMPTS = 3
 KEY_SCOPE = ""
-RETRIED_KINDS = frozenset(
-    {ErrorKind.SHUTTING_DOWN, ErrorKind.NOT_READY, ErrorKind.OVERLOADED}
-)
+RETRIED_KINDS = frozenset({ErrorKind.SHUTTING_DOWN, ErrorKind.NOT_READY})
 
 
 class IdsModel(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/src/jackdawkeel/entry/other_entries.py
+++ b/src/jackdawkeel/entry/other_entries.py
@@ -12,6 +12,9 @@
 from ..messages import FindHome
 from ..messages import HomeFound
 from ..messages import PeerAddress
+from ..policy.quota import forget_entry
+from ..policy.quota import own_demand
+from ..policy.quota import record_entry_demand
 
 
 if TYPE_CHECKING:
@@ -22,6 +25,7 @@
     from ..controllers.roster import RosterController
     from ..messages import AgentSighting
     from ..messages import Message
+    from ..policy.quota import QuotaState
 
 
 ANSWER_WAIT_S = 0.5
@@ -38,6 +42,7 @@
         clock: Clock,
         configuration: ConfigurationController,
         roster: RosterController,
+        quotas: QuotaState,
         send: Callable[[PeerAddress, Message], None],
         redial: Callable[[str], None],
         apply: Callable[[int, bytes], None],
@@ -49,6 +54,7 @@
             clock: Clock in seconds.
             configuration: This entry's configuration.
             roster: The agents that this entry hears.
+            quotas: What this entry knows of the demand of teams.
             send: Sends a message to a process.
             redial: Replaces the connection to a link address.
             apply: Applies a configuration if it is newer than the one in force.
@@ -58,6 +64,7 @@
         self.clock = clock
         self.configuration = configuration
         self.roster = roster
+        self.quotas = quotas
         self.send = send
         self.redial = redial
         self.addresses: list[PeerAddress] = []
@@ -74,11 +81,13 @@
             self.replied_at.setdefault(incarnation, self.clock())
         for incarnation in set(self.replied_at) - known:
             del self.replied_at[incarnation]
+            forget_entry(self.quotas, incarnation)
 
     def probe(self) -> None:
         """Asks each other entry how lately it has reached the store."""
         now = self.clock()
-        message = EntryProbe(now, self.configuration.revision, {})
+        demand = own_demand(self.quotas, now)
+        message = EntryProbe(now, self.configuration.revision, demand)
         for address in self.addresses:
             if now - self.replied_at[address.incarnation] > REDIAL_AFTER_S:
                 self.replied_at[address.incarnation] = now
@@ -87,6 +96,7 @@
 
     def handle_probe(self, sender: PeerAddress, message: EntryProbe) -> None:
         """Answers with this entry's configuration and when it was confirmed."""
+        record_entry_demand(self.quotas, sender.incarnation, message.demand)
         configuration = self.configuration
         is_newer = configuration.revision > message.revision
         reply = EntryProbeReply(
--- a/src/jackdawkeel/messages.py
+++ b/src/jackdawkeel/messages.py
@@ -231,12 +231,14 @@
         state: A value of ``TaskState``.
         body: The target's JSON body if the state is done.
         reason: One sentence if the state is neither done nor running.
+        run_ms: How long the target took, in milliseconds; 0 if it did not end.
     """
 
     number: int
     state: str
     body: bytes = b""
     reason: str = ""
+    run_ms: float = 0.0
 
 
 class TaskReports(msgspec.Struct, frozen=True, array_like=True, tag=11):
--- a/tests/controllers/test_dispatch.py
+++ b/tests/controllers/test_dispatch.py
@@ -6,10 +6,10 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from jackdawkeel.controllers.dispatch import GONE_AFTER_S
 from jackdawkeel.controllers.dispatch import DispatchController
 from jackdawkeel.controllers.peers import QUEUE_ALLOWANCE
 from jackdawkeel.controllers.peers import PeerController
+from jackdawkeel.controllers.silence import GONE_AFTER_S
 from jackdawkeel.messages import AgentLoad
 from jackdawkeel.messages import CancelTasks
 from jackdawkeel.messages import DispatchTasks
@@ -19,6 +19,7 @@
 from jackdawkeel.messages import TaskQuery
 from jackdawkeel.messages import TaskReport
 from jackdawkeel.messages import TaskReports
+from jackdawkeel.policy.run_time import RELIABLE_SAMPLES
 from tests.fakes import FakeClock
 from tests.fakes import Outbox
 from tests.fakes import make_address
@@ -206,3 +207,30 @@
         self.zones_out = {"zone-a"}
         self.submit(10)
         self.assertEqual({out.peer for out in self.take_out()}, {FAR})
+
+    def test_straggler_of_an_idempotent_job_gets_a_second_copy(self) -> None:
+        for _ in range(RELIABLE_SAMPLES):
+            self.dispatch.find_stats("service").observe(100.0)
+        for idempotent, copies in ((True, 1), (False, 0)):
+            with self.subTest(idempotent=idempotent):
+                self.submit(1, idempotent=idempotent)
+                (first,) = self.take_out()
+                self.clock.advance(0.5)
+                self.dispatch.tick()
+                out = self.take_out()
+                self.assertEqual(len(out), copies)
+                if out:
+                    self.assertNotEqual(out[0].peer, first.peer)
+                    self.report(out[0], "failed")
+                self.report(first, "done")
+                self.assertEqual(self.answers.pop("job").outcome, "done")
+
+    def test_retry_goes_to_another_agent_and_has_a_budget(self) -> None:
+        self.submit(1, idempotent=True)
+        (first,) = self.take_out()
+        self.report(first, "failed")
+        (second,) = self.take_out()
+        self.assertNotEqual(first.peer, second.peer)
+        self.dispatch.find_stats("service").retries.balance = 0.0
+        self.report(second, "failed")
+        self.assertEqual(self.answers["job"].outcome, "failed")
--- a/tests/controllers/test_execution.py
+++ b/tests/controllers/test_execution.py
@@ -12,6 +12,7 @@
 from jackdawkeel.messages import TaskDispatch
 from jackdawkeel.messages import TaskQuery
 from jackdawkeel.messages import TaskReports
+from jackdawkeel.target.client import TargetResult
 from jackdawkeel.task_state import TaskState
 from tests.fakes import FakeClock
 from tests.fakes import Outbox
@@ -60,7 +61,7 @@
 
     def end(self, record: TaskRecord, state: TaskState = TaskState.DONE) -> None:
         """Ends a started task."""
-        self.execution.handle_result(record, state, b"1", "")
+        self.execution.handle_result(record, TargetResult(state, b"1", "", 0.1))
 
     def test_starts_within_the_slots_and_refuses_beyond_the_queue(self) -> None:
         self.execution.handle_dispatch(HOME, make_dispatch(1, 2, 3, 4))
