Keep peer lists stable and bounded, draw homes, probe ejected agents

Cause: each heartbeat walked over all agents and sent 32 whole descriptions, about 3 KB a beat; at 11,000 agents that is some 5 million steps a second for an entry and above 2 KB a second for a node. An ejected agent got no probe, so it was never readmitted. Now a list changes only with its members, a beat carries two small numbers per peer, and homes are drawn from an index. Probes use idempotent single requests; others only after 15 s without one. Ruled out: a random list per beat, which changes each time and cannot be sent as a change.

--- a/src/jackdawkeel/agent/daemon.py
+++ b/src/jackdawkeel/agent/daemon.py
@@ -21,7 +21,6 @@
 from ..link.node import LinkNode
 from ..logs import EventLog
 from ..messages import AgentDescription
-from ..messages import AgentLoad
 from ..messages import PeerAddress
 from ..messages import PeerStatus
 from ..periodic import repeat_forever
@@ -90,7 +89,6 @@
                 settings.services,
                 settings.availability_zone,
                 settings.slots,
-                AgentLoad(),
             ),
             self.clock,
             self.configuration.is_zone_in_service,
@@ -159,13 +157,13 @@
 
     def apply_heartbeat_reply(self, sender: PeerAddress, reply: HeartbeatReply) -> None:
         """Takes configuration, lease, entries and peers from an entry."""
-        self.entries.record_reply(sender.incarnation)
+        listed = self.entries.record_reply(sender, reply)
         self.entries.add(reply.entries)
         if self.configuration.apply_reply(reply):
             revision = self.configuration.configuration.revision
             self.log.record(EventName.CONFIGURATION_APPLIED, revision=revision)
         self.peers.own_ejected = reply.ejected
-        self.peers.apply_list(reply.peers)
+        self.peers.apply_list(listed, reply.loads)
         self.execution.start_ready()
         self.dispatch.dispatch_ready()
 
@@ -237,9 +235,8 @@
 
     def send_heartbeats(self) -> None:
         """Announces this agent to its entries."""
-        heartbeat = make_heartbeat(self)
         for entry in self.entries.choose():
-            self.node.send(entry.address, heartbeat)
+            self.node.send(entry.address, make_heartbeat(self, entry))
 
 
 def run_agent(settings: AgentSettings) -> int:
--- a/src/jackdawkeel/agent/heartbeat.py
+++ b/src/jackdawkeel/agent/heartbeat.py
@@ -9,11 +9,12 @@
 
 
 if TYPE_CHECKING:
+    from ..controllers.entry_roster import KnownEntry
     from .daemon import Agent
 
 
-def make_heartbeat(agent: Agent) -> Heartbeat:
-    """Builds the heartbeat of this moment."""
+def make_heartbeat(agent: Agent, entry: KnownEntry) -> Heartbeat:
+    """Builds the heartbeat of this moment for an entry."""
     execution = agent.execution
     load = AgentLoad(
         running=execution.running,
@@ -30,4 +31,5 @@
         load=load,
         revision=agent.configuration.configuration.revision,
         leaving=agent.configuration.leaving,
+        peer_list=entry.peer_list,
     )
--- a/src/jackdawkeel/controllers/entry_roster.py
+++ b/src/jackdawkeel/controllers/entry_roster.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from dataclasses import field
 from typing import TYPE_CHECKING
 
 
 if TYPE_CHECKING:
     from ..clock import Clock
+    from ..messages import HeartbeatReply
     from ..messages import PeerAddress
+    from ..messages import PeerStatus
 
 
 MAX_ENTRIES = 3
@@ -25,12 +28,16 @@
         added_at: When it became known, in seconds of the clock.
         heard_at: When it last replied, or ``added_at``.
         redialed_at: When the link to it was last replaced.
+        peer_list: Number of the peer list that came from it, 0 for none.
+        peers: That list.
     """
 
     address: PeerAddress
     added_at: float
     heard_at: float
     redialed_at: float = 0.0
+    peer_list: int = 0
+    peers: list[PeerStatus] = field(default_factory=list)
 
 
 class EntryRosterController:
@@ -48,11 +55,17 @@
                 known = KnownEntry(address, now, now)
                 self.entries[address.incarnation] = known
 
-    def record_reply(self, incarnation: str) -> None:
-        """Notes that an entry has replied."""
-        entry = self.entries.get(incarnation)
-        if entry is not None:
-            entry.heard_at = self.clock()
+    def record_reply(
+        self, address: PeerAddress, reply: HeartbeatReply
+    ) -> list[PeerStatus]:
+        """Notes that an entry has replied; returns the peers that it lists."""
+        self.add([address])
+        entry = self.entries[address.incarnation]
+        entry.heard_at = self.clock()
+        if reply.peers is not None:
+            entry.peer_list = reply.peer_list
+            entry.peers = reply.peers
+        return entry.peers if entry.peer_list == reply.peer_list else []
 
     def remove(self, incarnation: str) -> None:
         """Forgets an entry whose process has ended."""
--- /dev/null
+++ b/src/jackdawkeel/controllers/peer_lists.py
@@ -0,0 +1,83 @@
+"""The bounded list of peers that an entry keeps for each agent it hears."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from ..messages import AgentDescription
+    from .agent_index import AgentIndex
+
+
+MAX_PEERS = 32
+MAX_FAR_PEERS = 12
+
+
+@dataclass(frozen=True, slots=True)
+class PeerSource:
+    """Where peers are drawn from.
+
+    Attributes:
+        index: All agents by service and availability zone.
+        is_eligible: Whether an agent may run tasks for others now.
+        find_zone: Returns the availability zone of an eligible agent.
+        rng: Decides among the agents.
+    """
+
+    index: AgentIndex
+    is_eligible: Callable[[str], bool]
+    find_zone: Callable[[str], str]
+    rng: random.Random
+
+
+def refresh_peers(
+    present: list[str], agent: AgentDescription, source: PeerSource
+) -> list[str]:
+    """Drops peers that are no longer eligible and fills the list up again.
+
+    The list stays as it is while its members do, so that only changes need be sent.
+    Where there are enough agents, about two thirds are of the own availability zone.
+    """
+    kept = [name for name in present if source.is_eligible(name)]
+    if len(kept) >= MAX_PEERS:
+        return kept
+    own_zone = agent.availability_zone
+    far_kept = sum(source.find_zone(name) != own_zone for name in kept)
+    near = _select(_draw(agent, [own_zone], source), kept, agent, source)
+    zones = {zone for name in agent.services for zone in source.index.list_zones(name)}
+    far_zones = sorted(zones - {own_zone})
+    far = _select(_draw(agent, far_zones, source), kept, agent, source)
+    near_room = MAX_PEERS - len(kept) - min(len(far), MAX_FAR_PEERS - far_kept)
+    kept += near[: max(0, near_room)]
+    kept += far[: MAX_PEERS - len(kept)]
+    return kept
+
+
+def _draw(
+    agent: AgentDescription, zones: list[str], source: PeerSource
+) -> Iterable[str]:
+    count = max(1, MAX_PEERS // max(1, len(zones)))
+    drawn = [
+        name
+        for service in agent.services
+        for zone in zones
+        for name in source.index.draw(service, zone, count, source.rng)
+    ]
+    source.rng.shuffle(drawn)
+    return dict.fromkeys(drawn)
+
+
+def _select(
+    drawn: Iterable[str],
+    kept: list[str],
+    agent: AgentDescription,
+    source: PeerSource,
+) -> list[str]:
+    excluded = {agent.address.incarnation, *kept}
+    return [name for name in drawn if name not in excluded and source.is_eligible(name)]
--- a/src/jackdawkeel/controllers/peers.py
+++ b/src/jackdawkeel/controllers/peers.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from ..policy.candidates import Candidate
+from ..policy.ejection import PROBE_INTERVAL_S
 from ..policy.placement import choose_executor
 
 
@@ -15,6 +16,7 @@
     from collections.abc import Callable
 
     from ..clock import Clock
+    from ..messages import PeerLoad
     from ..messages import PeerStatus
     from ..messages import TaskReports
     from .job import Dispatch
@@ -32,6 +34,7 @@
         status: The agent as an entry last described it.
         outstanding: This home's open dispatches there, in order of number.
         reported: Tasks there that are not this home's, as last reported.
+        waiting: Tasks that wait at home there, as last reported.
         listed_at: When an entry last listed it, in seconds of the clock.
         heard_at: When it last sent anything here.
         sent_at: When a message with settled numbers was last sent to it.
@@ -44,6 +47,7 @@
     status: PeerStatus
     outstanding: dict[int, Dispatch] = field(default_factory=dict)
     reported: int = 0
+    waiting: int = 0
     listed_at: float = 0.0
     heard_at: float = 0.0
     sent_at: float = 0.0
@@ -92,6 +96,7 @@
         self.own = Peer(own)
         self.own_ejected = False
         self.own_leaving = False
+        self.own_probe_at = 0.0
         self.rng = random.Random(own.address.incarnation)
         self.peers: dict[str, Peer] = {self.own.incarnation: self.own}
 
@@ -108,17 +113,17 @@
         if peer is not self.own:
             self.peers.pop(peer.incarnation, None)
 
-    def apply_list(self, statuses: list[PeerStatus]) -> None:
+    def apply_list(self, statuses: list[PeerStatus], loads: list[PeerLoad]) -> None:
         """Takes the peers that an entry lists; drops those long unlisted."""
         now = self.clock()
-        for status in statuses:
+        for status, load in zip(statuses, loads, strict=False):
             if status.address == self.own.status.address:
                 continue
             peer = self.peers.setdefault(status.address.incarnation, Peer(status))
             peer.status = status
             peer.listed_at = now
-            total = status.load.running + status.load.queued
-            peer.reported = max(0, total - len(peer.outstanding))
+            peer.waiting = load.waiting
+            peer.reported = max(0, load.held - len(peer.outstanding))
         for peer in self.list_all():
             unlisted = now - peer.listed_at > UNLISTED_S
             if unlisted and not peer.outstanding and not peer.unsettled:
@@ -156,7 +161,7 @@
             slots += status.slots
             held += len(peer.outstanding) + peer.reported
             if peer is not self.own:
-                waiting_elsewhere += status.load.waiting
+                waiting_elsewhere += peer.waiting
         return ServiceCapacity(slots, held, waiting_elsewhere)
 
     def choose(self, service: str, avoided: str | None = None) -> Peer | None:
@@ -171,7 +176,7 @@
         """
         now = self.clock()
         candidates = [
-            self._describe(peer)
+            self._describe(peer, now)
             for peer in self.peers.values()
             if self._may_get_work(peer, service, now)
         ]
@@ -186,9 +191,13 @@
             QUEUE_ALLOWANCE,
             self.rng,
         )
-        return None if chosen is None else self.peers[chosen]
+        if chosen is None:
+            return None
+        if self.own_ejected and chosen == own.address.incarnation:
+            self.own_probe_at = now + PROBE_INTERVAL_S
+        return self.peers[chosen]
 
-    def _describe(self, peer: Peer) -> Candidate:
+    def _describe(self, peer: Peer, now: float) -> Candidate:
         status = peer.status
         return Candidate(
             incarnation=status.address.incarnation,
@@ -196,7 +205,7 @@
             slots=status.slots,
             outstanding=len(peer.outstanding),
             reported=peer.reported,
-            ejected=peer is self.own and self.own_ejected,
+            ejected=peer is self.own and self.own_ejected and now < self.own_probe_at,
             leaving=peer is self.own and self.own_leaving,
             in_service=self.is_zone_in_service(status.availability_zone),
         )
--- a/src/jackdawkeel/controllers/roster.py
+++ b/src/jackdawkeel/controllers/roster.py
@@ -4,9 +4,11 @@
 
 import random
 from dataclasses import dataclass
+from dataclasses import field
 from typing import TYPE_CHECKING
 
 from ..messages import AgentSighting
+from ..messages import PeerLoad
 from ..messages import PeerStatus
 from ..policy.candidates import Candidate
 from ..policy.ejection import EjectionState
@@ -15,6 +17,9 @@
 from ..policy.ejection import record_counters
 from ..policy.ejection import update_ejected
 from ..policy.placement import choose_home
+from .agent_index import AgentIndex
+from .peer_lists import PeerSource
+from .peer_lists import refresh_peers
 
 
 if TYPE_CHECKING:
@@ -27,8 +32,7 @@
 
 LIVE_S = 3.0
 DROP_S = 120.0
-MAX_PEERS = 32
-MAX_FAR_PEERS = 12
+HOME_DRAWS = 2
 MAX_GONE = 10_000
 
 
@@ -40,11 +44,15 @@
         heartbeat: The last heartbeat.
         heard_at: When it came, in seconds of the clock.
         forwarded: Jobs that this entry has there without an answer.
+        peers: Incarnations of the peers that the agent is told.
+        peer_list: Number of that list; it grows with each change.
     """
 
     heartbeat: Heartbeat
     heard_at: float
     forwarded: int = 0
+    peers: list[str] = field(default_factory=list)
+    peer_list: int = 1
 
     @property
     def address(self) -> PeerAddress:
@@ -65,10 +73,14 @@
         self.clock = clock
         self.is_zone_in_service = is_zone_in_service
         self.agents: dict[str, AgentView] = {}
+        self.index = AgentIndex()
         self.gone: dict[str, None] = {}
         self.ejection = EjectionState()
         self.ejected: set[str] = set()
         self.rng = random.Random(availability_zone)
+        self.peer_source = PeerSource(
+            self.index, self._may_be_peer, self._find_zone, self.rng
+        )
 
     def handle_heartbeat(self, heartbeat: Heartbeat) -> bool:
         """Records a heartbeat; returns whether the agent is new."""
@@ -83,11 +95,14 @@
         self.gone.pop(address.incarnation, None)
         self._replace_predecessor(address)
         self.agents[address.incarnation] = AgentView(heartbeat, self.clock())
+        self.index.add(heartbeat.agent)
         return True
 
     def mark_gone(self, incarnation: str) -> None:
         """Notes for good that the process of an incarnation has ended."""
-        self.agents.pop(incarnation, None)
+        view = self.agents.pop(incarnation, None)
+        if view is not None:
+            self.index.remove(view.heartbeat.agent)
         forget_agent(self.ejection, incarnation)
         self.gone[incarnation] = None
         if len(self.gone) > MAX_GONE:
@@ -118,39 +133,57 @@
             for view in self.agents.values()
         )
 
+    def find_probe(self, service: str, *, is_idempotent: bool) -> AgentView | None:
+        """Returns an ejected agent that should get a job now, to try its target."""
+        now = self.clock()
+        for incarnation in self.ejected:
+            view = self.agents.get(incarnation)
+            if view is None or not self.may_start(view):
+                continue
+            if service not in view.heartbeat.agent.services:
+                continue
+            if admit_probe(
+                self.ejection, incarnation, now, is_idempotent=is_idempotent
+            ):
+                return view
+        return None
+
     def choose_home(self, service: str) -> AgentView | None:
         """Returns the home for a new id of a service, or None if there is none."""
-        candidates = [
-            self._describe(view)
-            for view in self.agents.values()
-            if service in view.heartbeat.agent.services and self.is_live(view)
+        drawn = [
+            name
+            for zone in self.index.list_zones(service)
+            for name in self.index.draw(service, zone, HOME_DRAWS, self.rng)
         ]
+        views = [self.agents[name] for name in drawn]
+        candidates = [self._describe(view) for view in views if self.is_live(view)]
         chosen = choose_home(candidates, self.availability_zone, self.rng)
         return None if chosen is None else self.agents[chosen]
 
-    def list_peers(self, agent: AgentView) -> list[PeerStatus]:
-        """Returns the agents that may run tasks for an agent, bounded in number.
-
-        Most are of the agent's own availability zone, some of the others.
-        """
-        wanted = set(agent.heartbeat.agent.services)
-        near: list[AgentView] = []
-        far: list[AgentView] = []
-        for view in self.agents.values():
-            described = view.heartbeat.agent
-            if view is agent or wanted.isdisjoint(described.services):
-                continue
-            if (
-                not self.may_start(view)
-                or described.address.incarnation in self.ejected
-            ):
-                continue
-            zone = agent.heartbeat.agent.availability_zone
-            (near if described.availability_zone == zone else far).append(view)
-        far_count = max(MAX_FAR_PEERS, MAX_PEERS - len(near))
-        far = self._sample(far, far_count)
-        near = self._sample(near, MAX_PEERS - len(far))
-        return [_make_peer_status(view) for view in [*near, *far]]
+    def refresh_peers(self, view: AgentView) -> None:
+        """Brings the list of peers that an agent is told up to date."""
+        peers = refresh_peers(view.peers, view.heartbeat.agent, self.peer_source)
+        if peers != view.peers:
+            view.peers = peers
+            view.peer_list += 1
+
+    def describe_peers(self, view: AgentView) -> list[PeerStatus]:
+        """Describes the peers that an agent is told."""
+        return [_make_peer_status(self.agents[name]) for name in view.peers]
+
+    def list_peer_loads(self, view: AgentView) -> list[PeerLoad]:
+        """Returns the load of each peer that an agent is told."""
+        loads = [self.agents[name].heartbeat.load for name in view.peers]
+        return [PeerLoad(load.running + load.queued, load.waiting) for load in loads]
+
+    def _may_be_peer(self, incarnation: str) -> bool:
+        view = self.agents.get(incarnation)
+        if view is None or incarnation in self.ejected:
+            return False
+        return self.may_start(view)
+
+    def _find_zone(self, incarnation: str) -> str:
+        return self.agents[incarnation].heartbeat.agent.availability_zone
 
     def tick(self) -> None:
         """Updates ejections and drops agents that are long silent."""
@@ -165,10 +198,6 @@
                     services.setdefault(service, []).append(incarnation)
         self.ejected = update_ejected(self.ejection, services, now)
 
-    def may_probe(self, incarnation: str) -> bool:
-        """Returns whether an ejected agent gets a task now, to try it."""
-        return admit_probe(self.ejection, incarnation, self.clock())
-
     def list_sightings(self) -> list[AgentSighting]:
         """Returns all agents as last heard."""
         now = self.clock()
@@ -188,11 +217,6 @@
             if view.address.link == address.link:
                 self.mark_gone(incarnation)
 
-    def _sample(self, views: list[AgentView], count: int) -> list[AgentView]:
-        if len(views) <= count:
-            return views
-        return self.rng.sample(views, count)
-
     def _describe(self, view: AgentView) -> Candidate:
         agent = view.heartbeat.agent
         load = view.heartbeat.load
@@ -216,5 +240,4 @@
         services=agent.services,
         availability_zone=agent.availability_zone,
         slots=agent.slots,
-        load=view.heartbeat.load,
     )
--- a/src/jackdawkeel/entry/heartbeats.py
+++ b/src/jackdawkeel/entry/heartbeats.py
@@ -24,14 +24,18 @@
             zone=agent.availability_zone,
         )
     view = entry.roster.agents[agent.address.incarnation]
+    entry.roster.refresh_peers(view)
+    has_list = heartbeat.peer_list == view.peer_list
     return HeartbeatReply(
         sent_at=heartbeat.sent_at,
         lease_ms=entry.configuration.lease_ms(entry.clock()),
         revision=entry.configuration.revision,
         configuration=_find_change(entry, heartbeat),
         entries=[entry.address, *entry.others.addresses],
-        peers=entry.roster.list_peers(view),
         ejected=agent.address.incarnation in entry.roster.ejected,
+        peer_list=view.peer_list,
+        peers=None if has_list else entry.roster.describe_peers(view),
+        loads=entry.roster.list_peer_loads(view),
     )
 
 
--- a/src/jackdawkeel/entry/jobs.py
+++ b/src/jackdawkeel/entry/jobs.py
@@ -29,6 +29,7 @@
 
 
 if TYPE_CHECKING:
+    from ..controllers.roster import AgentView
     from .daemon import Entry
 
 
@@ -111,7 +112,7 @@
         return answer_error(None, refusal)
     answer = answer_error(None, _no_target(request.service))
     for _ in range(MAX_OWN_ATTEMPTS):
-        home = entry.roster.choose_home(request.service)
+        home = _choose_executing_home(entry, request)
         if home is None:
             return answer
         job_id = mint_job_id(home.address.incarnation, home.heartbeat.era)
@@ -121,6 +122,15 @@
     return answer
 
 
+def _choose_executing_home(entry: Entry, request: JobRequest) -> AgentView | None:
+    probe = None
+    if len(request.payloads) == 1:
+        probe = entry.roster.find_probe(
+            request.service, is_idempotent=request.idempotent
+        )
+    return probe or entry.roster.choose_home(request.service)
+
+
 async def get_job(entry: Entry, job_id: str) -> Answer:
     """Returns the answer of a job, or that it is running."""
     return await _ask_home(entry, job_id, JobQuery(job_id))
--- a/src/jackdawkeel/messages.py
+++ b/src/jackdawkeel/messages.py
@@ -69,7 +69,13 @@
     services: list[str]
     availability_zone: str
     slots: int
-    load: AgentLoad
+
+
+class PeerLoad(msgspec.Struct, frozen=True, array_like=True):
+    """The load of a listed peer, as far as placement needs it."""
+
+    held: int
+    waiting: int
 
 
 class AgentConfiguration(msgspec.Struct, frozen=True, array_like=True):
@@ -90,6 +96,7 @@
         load: The agent's load.
         revision: The configuration revision that is in force at the agent.
         leaving: Whether the agent takes no new jobs or tasks.
+        peer_list: Number of the peer list that the agent has from this entry.
     """
 
     sent_at: float
@@ -98,6 +105,7 @@
     load: AgentLoad
     revision: int
     leaving: bool
+    peer_list: int = 0
 
 
 class HeartbeatReply(msgspec.Struct, frozen=True, array_like=True, tag=2):
@@ -109,8 +117,11 @@
         revision: The entry's configuration revision.
         configuration: What the agent needs of it, if the agent's is older.
         entries: The live entries that the entry knows.
-        peers: Agents that may run tasks for this agent, bounded in number.
         ejected: Whether the agent's own target should get no work but probes.
+        peer_list: Number of the present list of peers; it changes with the list.
+        peers: Agents that may run tasks for this agent, bounded in number; None if
+            the agent has the present list.
+        loads: The load of each peer, in the order of the list.
     """
 
     sent_at: float
@@ -118,8 +129,10 @@
     revision: int
     configuration: AgentConfiguration | None
     entries: list[PeerAddress]
-    peers: list[PeerStatus]
     ejected: bool
+    peer_list: int
+    peers: list[PeerStatus] | None
+    loads: list[PeerLoad]
 
 
 class Refusal(msgspec.Struct, frozen=True, array_like=True):
--- a/src/jackdawkeel/policy/ejection.py
+++ b/src/jackdawkeel/policy/ejection.py
@@ -19,6 +19,7 @@
 HEALTHY_FAILURE_RATE = 0.5
 MAX_EJECTED_DIVISOR = 3
 PROBE_INTERVAL_S = 1.0
+RISKY_PROBE_DELAY_S = 15.0
 PROBE_SUCCESSES = 3
 
 
@@ -110,10 +111,19 @@
     return {name for name, agent in state.agents.items() if agent.ejected}
 
 
-def admit_probe(state: EjectionState, incarnation: str, now: float) -> bool:
-    """Returns whether an ejected agent gets a task now, and notes it as a probe."""
+def admit_probe(
+    state: EjectionState, incarnation: str, now: float, *, is_idempotent: bool
+) -> bool:
+    """Returns whether an ejected agent gets a task now, and notes it as a probe.
+
+    A probe that fails costs an idempotent task only time. Other tasks are used for
+    probes when there has been no idempotent one for long.
+    """
     agent = state.agents.get(incarnation)
-    if agent is None or not agent.ejected or now < agent.next_probe_at:
+    if agent is None or not agent.ejected:
+        return False
+    wait_s = 0.0 if is_idempotent else RISKY_PROBE_DELAY_S
+    if now < agent.next_probe_at + wait_s:
         return False
     agent.next_probe_at = now + PROBE_INTERVAL_S
     return True
--- a/tests/controllers/test_dispatch.py
+++ b/tests/controllers/test_dispatch.py
@@ -10,10 +10,10 @@
 from jackdawkeel.controllers.peers import QUEUE_ALLOWANCE
 from jackdawkeel.controllers.peers import PeerController
 from jackdawkeel.controllers.silence import GONE_AFTER_S
-from jackdawkeel.messages import AgentLoad
 from jackdawkeel.messages import CancelTasks
 from jackdawkeel.messages import DispatchTasks
 from jackdawkeel.messages import PeerAddress
+from jackdawkeel.messages import PeerLoad
 from jackdawkeel.messages import PeerStatus
 from jackdawkeel.messages import SubmitJob
 from jackdawkeel.messages import TaskQuery
@@ -38,7 +38,7 @@
 
 def make_peer(address: PeerAddress, zone: str) -> PeerStatus:
     """Builds an idle peer."""
-    return PeerStatus(address, ["service"], zone, SLOTS, AgentLoad())
+    return PeerStatus(address, ["service"], zone, SLOTS)
 
 
 @dataclass(frozen=True)
@@ -61,7 +61,8 @@
             self.clock,
             lambda zone: zone not in self.zones_out,
         )
-        self.peers.apply_list([make_peer(NEAR, "zone-a"), make_peer(FAR, "zone-b")])
+        listed = [make_peer(NEAR, "zone-a"), make_peer(FAR, "zone-b")]
+        self.peers.apply_list(listed, [PeerLoad(0, 0)] * 2)
         self.dispatch = DispatchController(
             clock=self.clock,
             log=make_log(),
--- a/tests/policy/test_ejection.py
+++ b/tests/policy/test_ejection.py
@@ -83,12 +83,14 @@
 
     def test_probes_are_spaced(self) -> None:
         times = (10.5, 11.0, 11.5, 12.0)
-        admitted = [admit_probe(self.state, "a", now) for now in times]
+        admitted = [
+            admit_probe(self.state, "a", now, is_idempotent=True) for now in times
+        ]
         self.assertEqual(admitted, [False, True, False, True])
 
     def test_no_probe_for_others(self) -> None:
-        self.assertFalse(admit_probe(self.state, "b", 20.0))
-        self.assertFalse(admit_probe(self.state, "unheard", 20.0))
+        self.assertFalse(admit_probe(self.state, "b", 20.0, is_idempotent=True))
+        self.assertFalse(admit_probe(self.state, "unheard", 20.0, is_idempotent=True))
 
     def test_readmission_needs_successes_in_a_row(self) -> None:
         steps = [((1, 30), {"a"}), ((2, 31), {"a"}), ((4, 31), {"a"}), ((5, 31), set())]
