Test the commands against a real entry and two agents

Cause: the commands were tested against a fake entry alone, whose replies could drift from the real ones.

--- /dev/null
+++ b/tests/console/test_against_fleet.py
@@ -0,0 +1,87 @@
+"""Tests of the commands against real processes: one entry and two agents."""
+
+from __future__ import annotations
+
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from tests.standins.fleet import SERVICE
+from tests.standins.fleet import Fleet
+from tests.standins.processes import wait_until
+
+from .calls import call
+
+
+IN_FORCE_TIMEOUT_S = 10.0
+ZONE_TICKET = {"availability_zones": {"west-2": {"in_service": False}}}
+
+
+class CommandsAgainstFleetTest(unittest.TestCase):
+    """What the entry replies is what the commands expect."""
+
+    fleet: Fleet
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        cls.fleet = cls.enterClassContext(Fleet(zones=2, entries=1, slots=2))
+
+    def setUp(self) -> None:
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+        self.folder = Path(folder)
+        self.entry = ["--entry", self.fleet.entries[0].caller.url]
+
+    def write(self, name: str, content: object) -> str:
+        """Writes a JSON file and returns its path."""
+        path = self.folder / name
+        path.write_text(json.dumps(content))
+        return str(path)
+
+    def test_job(self) -> None:
+        payloads = [{"nights": [number, 1]} for number in range(3)]
+        tasks = [{"payload": payload} for payload in payloads]
+        job = self.write("job.json", {"service": SERVICE, "tasks": tasks})
+        done = call("job", "submit", job, *self.entry)
+        self.assertEqual((done.code, done.errors), (0, ""))
+        answer = json.loads(done.output)
+        self.assertEqual(len(answer["results"]), 3)
+        again = call("job", "submit", job, *self.entry, "--id", answer["id"])
+        self.assertEqual((again.code, again.output), (0, done.output))
+        starts = self.fleet.count_starts()
+        self.assertEqual(
+            [starts[f"{answer['id']}/{index}"] for index in range(3)], [1] * 3
+        )
+
+    def test_job_that_no_service_runs(self) -> None:
+        job = {"service": "no-such-service", "tasks": [{"payload": 1}]}
+        done = call("job", "submit", self.write("job.json", job), *self.entry)
+        self.assertEqual(done.code, 3)
+        self.assertEqual(json.loads(done.output)["error"]["kind"], "no_such_service")
+
+    def test_tickets_and_status(self) -> None:
+        ticket = self.write("ticket.json", ZONE_TICKET)
+        done = call("ticket", "submit", "20", ticket, *self.entry)
+        self.assertEqual((done.code, done.errors), (0, ""))
+        wait_until(self.is_in_force, "the ticket in force", IN_FORCE_TIMEOUT_S)
+        stale = call("ticket", "submit", "19", ticket, *self.entry)
+        self.assertEqual(stale.code, 3)
+        self.assertIn("superseded", stale.output)
+        missing = call("ticket", "status", "18", *self.entry)
+        self.assertEqual(missing.code, 3)
+        status = call("status", *self.entry)
+        self.assertEqual((status.code, status.errors), (0, ""))
+        self.assertIn("availability zone west-1: in service", status.output)
+        self.assertIn("west-2: out of service (ticket 20), 1 agents", status.output)
+        for agent in self.fleet.agents:
+            self.assertIn(agent.target.url, status.output)
+
+    def is_in_force(self) -> bool:
+        """Whether both agents have ticket 20 in force."""
+        done = call("ticket", "status", "20", *self.entry)
+        return done.code == 0 and len(json.loads(done.output)["in_force"]) == 2
+
+    def test_metrics_are_well_formed(self) -> None:
+        url = self.fleet.entries[0].caller.url
+        text = self.fleet.http.request("GET", f"{url}/v1/metrics").data.decode()
+        self.assertIn("# TYPE jackdawkeel_messages_sent_total counter\n", text)
