--- /dev/null
+++ b/tests/integration/__init__.py
@@ -0,0 +1,3 @@
+"""Promises under failure, with real processes and judged from outside."""
+
+from __future__ import annotations
--- a/tests/standins/caller.py
+++ b/tests/standins/caller.py
@@ -14,7 +14,7 @@
     from collections.abc import Mapping
 
 
-DEFAULT_TIMEOUT_S = 60.0
+TIMEOUT_S = 60.0
 CONNECTIONS = 64
 
 
@@ -44,12 +44,18 @@
 
 
 class Caller:
-    """Calls one entry; each method raises ``urllib3.exceptions.HTTPError``."""
+    """Calls one entry; each method raises ``urllib3.exceptions.HTTPError``.
 
-    def __init__(self, url: str, timeout_s: float = DEFAULT_TIMEOUT_S) -> None:
+    Args:
+        url: URL of the entry.
+        keep_alive: Whether connections are used again.
+    """
+
+    def __init__(self, url: str, keep_alive: bool = True) -> None:
         self.url = url
+        self.headers = {} if keep_alive else {"Connection": "close"}
         self.pool = urllib3.PoolManager(
-            retries=False, timeout=timeout_s, maxsize=CONNECTIONS
+            retries=False, timeout=TIMEOUT_S, maxsize=CONNECTIONS
         )
 
     def request(
@@ -57,6 +63,7 @@
     ) -> Reply:
         """Sends one request, once; underscores in header names become dashes."""
         named = {name.replace("_", "-"): text for name, text in headers.items()}
+        named |= self.headers
         body = None
         if value is not None:
             body = json.dumps(value).encode()
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -5,7 +5,6 @@
 import sys
 import tempfile
 from collections import Counter
-from concurrent.futures import ThreadPoolExecutor
 from contextlib import ExitStack
 from dataclasses import dataclass
 from pathlib import Path
@@ -283,13 +282,12 @@
         entries = [entry.process for entry in self.entries]
         return [*entries, *(agent.process for agent in self.agents)]
 
+    def proxies(self) -> list[FaultProxy]:
+        """Returns the proxies before all links."""
+        members: list[EntryProcess | AgentProcess] = [*self.entries, *self.agents]
+        return [member.proxy for member in members if member.proxy is not None]
+
     def print_tails(self) -> None:
         """Prints the last lines of each log of the product to standard error."""
         for process in self.product_processes():
             print(process.tail(), file=sys.stderr)
-
-
-def run_together(calls: list[Callable[[], Any]]) -> list[Any]:
-    """Runs calls at the same time and returns their results in order."""
-    with ThreadPoolExecutor(len(calls)) as threads:
-        return [future.result() for future in [threads.submit(c) for c in calls]]
--- a/tests/standins/proxy.py
+++ b/tests/standins/proxy.py
@@ -78,6 +78,7 @@
         self.faults: dict[str, Fault] = {}
         self.fault = NO_FAULT
         self.connections: set[Connection] = set()
+        self.delayed = 0
         self.tasks: set[asyncio.Task[None]] = set()
         self.loop = asyncio.new_event_loop()
         self.thread = threading.Thread(target=self.loop.run_forever)
@@ -131,6 +132,7 @@
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
+        await asyncio.sleep(0)
 
     def _find_fault(self, connection: Connection) -> Fault:
         return self.faults.get(connection.source, self.fault)
@@ -183,7 +185,10 @@
     ) -> None:
         while chunk := await reader.read(CHUNK_BYTES):
             fault = self._find_fault(connection)
-            await asyncio.sleep(fault.delay_s)
+            if fault.delay_s:
+                self.delayed += 1
+                await asyncio.sleep(fault.delay_s)
+                self.delayed -= 1
             connection.silent = connection.silent or fault.silent
             if not connection.silent:
                 writer.write(chunk)
