--- /dev/null
+++ b/bench/workload.py
@@ -0,0 +1,109 @@
+"""Seeded open-loop arrivals with the mix of the users' brief."""
+
+from __future__ import annotations
+
+import heapq
+import math
+import random
+from dataclasses import dataclass
+
+
+SHORT_MIN_S = 0.05
+SHORT_MAX_S = 1.0
+LONG_MIN_S = 2.0
+LONG_MAX_S = 6.0
+LONG_SHARE = 0.03
+SINGLE_SHARE = 0.9
+MIN_JOB_TASKS = 2
+MAX_JOB_TASKS = 240
+
+
+@dataclass(frozen=True, slots=True)
+class JobArrival:
+    """One job of the load.
+
+    Attributes:
+        at_s: When it arrives, in seconds from the start.
+        run_s: Run time of each task in seconds.
+        idempotent: Whether its caller allowed a second copy of a task.
+    """
+
+    at_s: float
+    run_s: list[float]
+    idempotent: bool
+
+
+@dataclass(frozen=True, slots=True)
+class WorkloadShape:
+    """What arrives.
+
+    Attributes:
+        slots: Slots that the load is relative to.
+        load: Offered work as a share of those slots.
+        duration_s: Length of the arrivals in seconds.
+        single_share: Share of the jobs that have one task.
+        seed: Seed of all draws.
+    """
+
+    slots: int
+    load: float
+    duration_s: float
+    single_share: float = SINGLE_SHARE
+    seed: int = 1
+
+
+def mean_run_s() -> float:
+    """Returns the mean run time of a task in seconds."""
+    short_s = (SHORT_MAX_S - SHORT_MIN_S) / math.log(SHORT_MAX_S / SHORT_MIN_S)
+    long_s = (LONG_MIN_S + LONG_MAX_S) / 2
+    return (1 - LONG_SHARE) * short_s + LONG_SHARE * long_s
+
+
+def mean_tasks(single_share: float) -> float:
+    """Returns the mean number of tasks of a job."""
+    ratio = MAX_JOB_TASKS / MIN_JOB_TASKS
+    large = (MAX_JOB_TASKS - MIN_JOB_TASKS) / math.log(ratio)
+    return single_share + (1 - single_share) * large
+
+
+def generate_jobs(shape: WorkloadShape) -> list[JobArrival]:
+    """Returns the jobs in the order of their arrival."""
+    rng = random.Random(shape.seed)
+    work_s = mean_tasks(shape.single_share) * mean_run_s()
+    rate = shape.load * shape.slots / work_s
+    jobs: list[JobArrival] = []
+    at_s = rng.expovariate(rate)
+    while at_s < shape.duration_s:
+        tasks = _draw_tasks(rng, shape.single_share)
+        run_s = [_draw_run_s(rng) for _ in range(tasks)]
+        jobs.append(JobArrival(at_s, run_s, rng.random() < 0.5))
+        at_s += rng.expovariate(rate)
+    return jobs
+
+
+def ideal_s(run_s: list[float], slots: int) -> float:
+    """Returns the time of a job on free slots with no dispatcher between.
+
+    Tasks take the next free slot in their order.
+    """
+    busy = list(run_s[:slots])
+    heapq.heapify(busy)
+    end_s = max(busy)
+    for one in run_s[slots:]:
+        finished = heapq.heappop(busy) + one
+        heapq.heappush(busy, finished)
+        end_s = max(end_s, finished)
+    return end_s
+
+
+def _draw_tasks(rng: random.Random, single_share: float) -> int:
+    if rng.random() < single_share:
+        return 1
+    low, high = math.log(MIN_JOB_TASKS), math.log(MAX_JOB_TASKS)
+    return round(math.exp(rng.uniform(low, high)))
+
+
+def _draw_run_s(rng: random.Random) -> float:
+    if rng.random() < LONG_SHARE:
+        return rng.uniform(LONG_MIN_S, LONG_MAX_S)
+    return math.exp(rng.uniform(math.log(SHORT_MIN_S), math.log(SHORT_MAX_S)))
