--- /dev/null
+++ b/src/jackdawkeel/console/commands/entry.py
@@ -0,0 +1,47 @@
+"""The command that runs an entry."""
+
+from __future__ import annotations
+
+import os
+
+from ...settings import ENTRY_OPTIONS
+from ...settings import read_entry_settings
+from ..command import Command
+from ..usage import require_settings
+
+
+def entry(
+    *,
+    listen: str | None = None,
+    link: str | None = None,
+    advertise: str | None = None,
+    store: str | None = None,
+    availability_zone: str | None = None,
+    threads: str | None = None,
+) -> int:
+    """Runs an entry until it is told to stop.
+
+    Raises:
+        UsageError: If a setting is missing or bad.
+    """
+    flags = {
+        "listen": listen,
+        "link": link,
+        "advertise": advertise,
+        "store": store,
+        "availability_zone": availability_zone,
+        "threads": threads,
+    }
+    settings = require_settings(read_entry_settings(flags, os.environ))
+
+    from ...entry.daemon import run_entry
+
+    return run_entry(settings)
+
+
+COMMAND = Command(
+    name="entry",
+    summary="Runs an entry, which carries jobs and tickets of callers.",
+    run=entry,
+    options=ENTRY_OPTIONS,
+)
--- /dev/null
+++ b/src/jackdawkeel/controllers/dispatch.py
@@ -0,0 +1,366 @@
+"""The jobs at home at one agent: which task goes where, and when a job has ended."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+from ..answer import Answer
+from ..answer import answer_done
+from ..answer import answer_error
+from ..errors import DispatchError
+from ..errors import ErrorKind
+from ..events import EventName
+from ..messages import CancelTasks
+from ..messages import DispatchTasks
+from ..messages import TaskDispatch
+from ..policy.admission_estimate import ServiceLoad
+from ..policy.hedging import take_hedge
+from ..policy.retry_budget import note_first_attempt
+from ..policy.retry_budget import take_second_attempt
+from ..task_state import TaskState
+from .job import Dispatch
+from .job import Job
+from .service_stats import ServiceStats
+from .silence import SilenceController
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..clock import Clock
+    from ..logs import EventLog
+    from ..messages import Message
+    from ..messages import PeerAddress
+    from ..messages import SubmitJob
+    from ..messages import TaskReport
+    from ..messages import TaskReports
+    from .peers import Peer
+    from .peers import PeerController
+
+
+REFUSED_BACKOFF_S = 0.1
+MAX_CLOCK_GAP_S = 1.0
+MAX_ATTEMPTS = 3
+MS_PER_S = 1000
+
+
+class DispatchController:
+    """Starts the tasks of the jobs at home and collects their results."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        log: EventLog,
+        peers: PeerController,
+        send: Callable[[PeerAddress, Message], None],
+        redial: Callable[[str], None],
+        finish: Callable[[str, Answer], None],
+    ) -> None:
+        """Describes the controller.
+
+        Args:
+            clock: Clock in seconds.
+            log: Event log.
+            peers: The agents that may run tasks, this one included.
+            send: Sends a message to a process.
+            redial: Replaces the connection to a link address.
+            finish: Takes the final answer of a job.
+        """
+        self.clock = clock
+        self.log = log
+        self.peers = peers
+        self.send = send
+        self.finish = finish
+        self.silence = SilenceController(
+            send=send, redial=redial, find_oldest_open=self.find_oldest_open
+        )
+        self.services: dict[str, ServiceStats] = {}
+        self.jobs: dict[str, Job] = {}
+        self.ready: deque[Job] = deque()
+        self.dispatches: dict[int, Dispatch] = {}
+        self.next_number = 1
+        self.ticked_at = clock()
+
+    def start_job(self, message: SubmitJob) -> None:
+        """Takes an admitted job and dispatches what finds a place."""
+        count = len(message.payloads)
+        job = Job(
+            job_id=message.job_id,
+            service=message.service,
+            payloads=message.payloads,
+            idempotent=message.idempotent,
+            expires_at=self.clock() + message.deadline_ms / 1000,
+            results=[None] * count,
+            waiting=deque(range(count)),
+        )
+        self.jobs[job.job_id] = job
+        self.ready.append(job)
+        self.dispatch_ready()
+
+    def count_waiting(self) -> int:
+        """Returns the number of tasks that are not yet dispatched."""
+        return sum(len(job.waiting) for job in self.jobs.values())
+
+    def measure_load(self, service: str) -> ServiceLoad:
+        """Returns the load of a service as far as this home knows it."""
+        capacity = self.peers.measure_capacity(service)
+        own_waiting = sum(
+            len(job.waiting) for job in self.jobs.values() if job.service == service
+        )
+        return ServiceLoad(
+            slots=capacity.slots,
+            running=capacity.held,
+            waiting=capacity.waiting_elsewhere + own_waiting,
+            run_time=self.find_stats(service).run_time,
+        )
+
+    def cancel_job(self, job_id: str) -> None:
+        """Ends a job; what has not started never will."""
+        job = self.jobs.get(job_id)
+        if job is not None:
+            self._end_early(
+                job,
+                ErrorKind.CANCELLED,
+                ErrorKind.CANCELLED_BEFORE_START,
+                "the job was cancelled",
+            )
+
+    def handle_reports(self, sender: PeerAddress, message: TaskReports) -> None:
+        """Takes what an executing agent reports, and fills its free slots."""
+        peer = self.peers.find(sender.incarnation)
+        if peer is None:
+            return
+        self.peers.record_reports(peer, message)
+        for report in message.reports:
+            dispatch = self.dispatches.get(report.number)
+            if dispatch is not None and dispatch.peer is peer:
+                self._handle_report(dispatch, report)
+        self.dispatch_ready()
+
+    def handle_gone(self, incarnation: str) -> None:
+        """Takes it that an agent's process has ended: its tasks are unknown."""
+        peer = self.peers.find(incarnation)
+        if peer is None:
+            return
+        self.peers.remove(peer)
+        for dispatch in list(peer.outstanding.values()):
+            self._close(dispatch)
+            self._retry_or_fail(
+                dispatch, ErrorKind.TASK_UNKNOWN, "the executing agent is gone"
+            )
+        self.dispatch_ready()
+
+    def dispatch_ready(self) -> None:
+        """Sends waiting tasks, one job after the other, while there are places."""
+        batches: dict[str, list[TaskDispatch]] = {}
+        blocked: set[str] = set()
+        idle_turns = 0
+        while self.ready and idle_turns < len(self.ready):
+            job = self.ready[0]
+            self.ready.rotate(-1)
+            if not job.waiting:
+                self.ready.pop()
+                continue
+            peer = None
+            if job.service not in blocked:
+                avoided = job.avoided.get(job.waiting[0])
+                peer = self.peers.choose(job.service, avoided)
+            if peer is None:
+                blocked.add(job.service)
+                idle_turns += 1
+                continue
+            idle_turns = 0
+            task = self._open(job, job.waiting.popleft(), peer)
+            note_first_attempt(self.find_stats(job.service).hedges)
+            note_first_attempt(self.find_stats(job.service).retries)
+            batches.setdefault(peer.incarnation, []).append(task)
+        for incarnation, tasks in batches.items():
+            self._send_batch(incarnation, tasks)
+
+    def tick(self) -> None:
+        """Ends jobs whose deadline has passed and asks silent agents."""
+        now = self.clock()
+        gap = now - self.ticked_at
+        self.ticked_at = now
+        if gap > MAX_CLOCK_GAP_S:
+            self._shift_timers(gap)
+        for job in list(self.jobs.values()):
+            if now >= job.expires_at:
+                self._end_early(
+                    job,
+                    ErrorKind.DEADLINE_EXPIRED,
+                    ErrorKind.DEADLINE_BEFORE_START,
+                    "the deadline passed",
+                )
+            elif job.idempotent:
+                self._hedge(job, now)
+        for peer in self.peers.list_all():
+            if self.silence.tend(peer, now):
+                self.handle_gone(peer.incarnation)
+        self.dispatch_ready()
+
+    def find_oldest_open(self, peer: Peer) -> int:
+        """Returns the lowest dispatch number that is open at a peer."""
+        return next(iter(peer.outstanding), self.next_number)
+
+    def _shift_timers(self, gap: float) -> None:
+        for dispatch in self.dispatches.values():
+            dispatch.heard_at += gap
+            dispatch.sent_at += gap
+        for peer in self.peers.list_all():
+            peer.asked_at = None
+
+    def _hedge(self, job: Job, now: float) -> None:
+        stats = self.find_stats(job.service)
+        for dispatch in list(job.outstanding.values()):
+            copies = sum(
+                other.index == dispatch.index for other in job.outstanding.values()
+            )
+            elapsed_ms = (now - dispatch.sent_at) * MS_PER_S
+            peer = self.peers.choose(job.service, dispatch.peer.incarnation)
+            if peer is None or peer is dispatch.peer:
+                continue
+            if take_hedge(True, copies, elapsed_ms, stats.run_time, stats.hedges):
+                task = self._open(job, dispatch.index, peer)
+                self._send_batch(peer.incarnation, [task])
+
+    def find_stats(self, service: str) -> ServiceStats:
+        """Returns what was learned of a service."""
+        stats = self.services.get(service)
+        if stats is None:
+            stats = self.services[service] = ServiceStats()
+        return stats
+
+    def _open(self, job: Job, index: int, peer: Peer) -> TaskDispatch:
+        number = self.next_number
+        self.next_number += 1
+        now = self.clock()
+        is_copy = job.has_copy_out(index)
+        dispatch = Dispatch(number, job, index, peer, now, now, is_copy)
+        self.dispatches[number] = dispatch
+        peer.outstanding[number] = dispatch
+        job.outstanding[number] = dispatch
+        return TaskDispatch(
+            number=number,
+            job_id=job.job_id,
+            index=index,
+            service=job.service,
+            payload=job.payloads[index],
+            deadline_ms=max(1, int((job.expires_at - now) * 1000)),
+        )
+
+    def _send_batch(self, incarnation: str, tasks: list[TaskDispatch]) -> None:
+        peer = self.peers.find(incarnation)
+        if peer is None:
+            return
+        self.log.record(
+            EventName.TASK_DISPATCHED,
+            peer=incarnation,
+            job=tasks[0].job_id,
+            count=len(tasks),
+        )
+        peer.note_sent(self.clock())
+        oldest_open = self.find_oldest_open(peer)
+        self.send(peer.status.address, DispatchTasks(oldest_open, tasks))
+
+    def _close(self, dispatch: Dispatch) -> None:
+        del self.dispatches[dispatch.number]
+        del dispatch.peer.outstanding[dispatch.number]
+        dispatch.job.outstanding.pop(dispatch.number, None)
+        dispatch.peer.unsettled = True
+
+    def _handle_report(self, dispatch: Dispatch, report: TaskReport) -> None:
+        dispatch.heard_at = self.clock()
+        state = TaskState(report.state)
+        if state is TaskState.RUNNING:
+            return
+        self._close(dispatch)
+        if state is TaskState.DONE:
+            self.find_stats(dispatch.job.service).observe(report.run_ms)
+            self._record_result(dispatch, report.body)
+        elif state is TaskState.NOT_STARTED:
+            self.peers.back_off(dispatch.peer, REFUSED_BACKOFF_S)
+            self._requeue(dispatch)
+        elif state is TaskState.FAILED:
+            self._retry_or_fail(dispatch, ErrorKind.TASK_FAILED, report.reason)
+        else:
+            self._retry_or_fail(dispatch, ErrorKind.TASK_UNKNOWN, report.reason)
+
+    def _record_result(self, dispatch: Dispatch, body: bytes) -> None:
+        job = dispatch.job
+        if job.job_id not in self.jobs or job.results[dispatch.index] is not None:
+            return
+        job.results[dispatch.index] = body
+        job.done += 1
+        if job.done == len(job.payloads):
+            results = [result for result in job.results if result is not None]
+            self._withdraw(job)
+            self._finish(job, answer_done(job.job_id, results))
+
+    def _requeue(self, dispatch: Dispatch) -> None:
+        job = dispatch.job
+        if job.job_id not in self.jobs or not self._is_wanted(dispatch):
+            return
+        job.waiting.appendleft(dispatch.index)
+        if job not in self.ready:
+            self.ready.append(job)
+
+    def _is_wanted(self, dispatch: Dispatch) -> bool:
+        job = dispatch.job
+        has_result = job.results[dispatch.index] is not None
+        return not has_result and not job.has_copy_out(dispatch.index)
+
+    def _retry_or_fail(self, dispatch: Dispatch, kind: ErrorKind, reason: str) -> None:
+        job = dispatch.job
+        if job.job_id not in self.jobs:
+            return
+        job.attempts[dispatch.index] = job.attempts.get(dispatch.index, 0) + 1
+        job.avoided[dispatch.index] = dispatch.peer.incarnation
+        if not self._is_wanted(dispatch):
+            return
+        if self._may_retry(dispatch):
+            self._requeue(dispatch)
+            return
+        if kind is ErrorKind.TASK_FAILED:
+            job.failed += 1
+        else:
+            job.unknown += 1
+        error = DispatchError(kind, f"task {dispatch.index}: {reason}")
+        self._withdraw(job)
+        answer = answer_error(job.job_id, error, job.count_tasks())
+        self._finish(job, answer)
+
+    def _may_retry(self, dispatch: Dispatch) -> bool:
+        job = dispatch.job
+        if not job.idempotent or job.attempts[dispatch.index] >= MAX_ATTEMPTS:
+            return False
+        return take_second_attempt(self.find_stats(job.service).retries)
+
+    def _end_early(
+        self, job: Job, kind: ErrorKind, kind_before_start: ErrorKind, message: str
+    ) -> None:
+        chosen = kind if job.has_started() else kind_before_start
+        self._withdraw(job)
+        counts = job.count_tasks()
+        error = DispatchError(chosen, message)
+        self._finish(job, answer_error(job.job_id, error, counts))
+
+    def _withdraw(self, job: Job) -> None:
+        job.waiting.clear()
+        numbers_by_peer: dict[str, list[int]] = {}
+        for number in job.outstanding:
+            incarnation = self.dispatches[number].peer.incarnation
+            numbers_by_peer.setdefault(incarnation, []).append(number)
+        for incarnation, numbers in numbers_by_peer.items():
+            peer = self.peers.find(incarnation)
+            if peer is not None:
+                message = CancelTasks(self.find_oldest_open(peer), numbers)
+                self.send(peer.status.address, message)
+
+    def _finish(self, job: Job, answer: Answer) -> None:
+        del self.jobs[job.job_id]
+        job.waiting.clear()
+        job.payloads = []
+        self.finish(job.job_id, answer)
