--- a/bench/model/simulator.py
+++ b/bench/model/simulator.py
@@ -110,7 +110,7 @@
         """Chooses a home, or an ejected agent as a probe."""
         if self.ways.ejects:
             for name in self.agents:
-                if admit_probe(entry.ejection, name, self.now):
+                if admit_probe(entry.ejection, name, self.now, is_idempotent=True):
                     return name
         candidates = [
             self.candidate(agent, entry.outstanding, entry.views)
