--- a/src/jackdawkeel/agent/daemon.py
+++ b/src/jackdawkeel/agent/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import signal
 from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING
@@ -43,6 +44,7 @@
 
 TICK_S = 0.05
 HEARTBEAT_S = 1.0
+HEARTBEAT_WITHOUT_LEASE_S = 0.3
 HEARTBEAT_JITTER = 0.1
 STORE_READ_MIN_S = 1.0
 STORE_READ_MAX_S = 30.0
@@ -226,7 +228,9 @@
                 self.node.redial(entry.address.link)
             self.send_heartbeats()
             self.node.close_idle_links()
-            await asyncio.sleep(spread(HEARTBEAT_S, HEARTBEAT_JITTER))
+            has_lease = self.configuration.has_lease()
+            interval_s = HEARTBEAT_S if has_lease else HEARTBEAT_WITHOUT_LEASE_S
+            await asyncio.sleep(spread(interval_s, HEARTBEAT_JITTER))
 
     async def _read_entries(self) -> None:
         found = await self.loop.run_in_executor(None, list_entries, self.store)
@@ -241,11 +245,12 @@
 
 def run_agent(settings: AgentSettings) -> int:
     """Runs an agent until it is told to stop; returns the exit code."""
-    incarnation = mint_incarnation()
-    log = EventLog("agent", incarnation, settings.availability_zone)
-    log.record(EventName.PROCESS_STARTED, link=settings.link)
-    asyncio.run(_run(settings, log))
-    log.record(EventName.PROCESS_STOPPED)
+    # A target's malformed response is reported by the task; urllib3 also prints it.
+    logging.getLogger("urllib3").setLevel(logging.CRITICAL)
+    with EventLog("agent", mint_incarnation(), settings.availability_zone) as log:
+        log.record(EventName.PROCESS_STARTED, link=settings.link)
+        asyncio.run(_run(settings, log))
+        log.record(EventName.PROCESS_STOPPED)
     return 0
 
 
--- a/src/jackdawkeel/console/application.py
+++ b/src/jackdawkeel/console/application.py
@@ -9,6 +9,7 @@
 import fire
 from fire.core import FireExit
 
+from ..errors import StartError
 from .arguments import asks_for_help
 from .arguments import quote_arguments
 from .command import Command
@@ -66,6 +67,9 @@
     except UsageError as error:
         print(f"jackdawkeel: {error}", file=sys.stderr)
         return ExitCode.USAGE
+    except StartError as error:
+        print(f"jackdawkeel: {error}", file=sys.stderr)
+        return ExitCode.FAILED
     except KeyboardInterrupt:
         return ExitCode.UNKNOWN
 
--- a/src/jackdawkeel/controllers/agent_configuration.py
+++ b/src/jackdawkeel/controllers/agent_configuration.py
@@ -26,6 +26,7 @@
         self.clock = clock
         self.configuration = AgentConfiguration(0, {}, {})
         self.lease_until = 0.0
+        self.started_at = clock()
         self.leaving = False
 
     def apply_reply(self, reply: HeartbeatReply) -> bool:
@@ -46,6 +47,10 @@
         """Returns whether an entry has confirmed the configuration lately."""
         return self.clock() < self.lease_until
 
+    def measure_lapse_s(self) -> float:
+        """Returns for how long there has been no lease, in seconds."""
+        return max(0.0, self.clock() - max(self.lease_until, self.started_at))
+
     def is_zone_in_service(self, availability_zone: str) -> bool:
         """Returns whether operators have the availability zone in service."""
         record = self.configuration.availability_zones.get(availability_zone)
--- a/src/jackdawkeel/controllers/roster.py
+++ b/src/jackdawkeel/controllers/roster.py
@@ -7,6 +7,7 @@
 from dataclasses import field
 from typing import TYPE_CHECKING
 
+from ..events import EventName
 from ..messages import AgentSighting
 from ..messages import PeerLoad
 from ..messages import PeerStatus
@@ -26,6 +27,7 @@
     from collections.abc import Callable
 
     from ..clock import Clock
+    from ..logs import EventLog
     from ..messages import Heartbeat
     from ..messages import PeerAddress
 
@@ -46,6 +48,7 @@
         forwarded: Jobs that this entry has there without an answer.
         peers: Incarnations of the peers that the agent is told.
         peer_list: Number of that list; it grows with each change.
+        is_noted_silent: Whether its silence has been logged.
     """
 
     heartbeat: Heartbeat
@@ -53,6 +56,7 @@
     forwarded: int = 0
     peers: list[str] = field(default_factory=list)
     peer_list: int = 1
+    is_noted_silent: bool = False
 
     @property
     def address(self) -> PeerAddress:
@@ -67,10 +71,12 @@
         self,
         availability_zone: str,
         clock: Clock,
+        log: EventLog,
         is_zone_in_service: Callable[[str], bool],
     ) -> None:
         self.availability_zone = availability_zone
         self.clock = clock
+        self.log = log
         self.is_zone_in_service = is_zone_in_service
         self.agents: dict[str, AgentView] = {}
         self.index = AgentIndex()
@@ -83,15 +89,18 @@
         )
 
     def handle_heartbeat(self, heartbeat: Heartbeat) -> bool:
-        """Records a heartbeat; returns whether the agent is new."""
+        """Records a heartbeat; returns whether the agent is new or was silent."""
         address = heartbeat.agent.address
         load = heartbeat.load
         record_counters(self.ejection, address.incarnation, load.completed, load.failed)
         view = self.agents.get(address.incarnation)
         if view is not None:
+            if heartbeat.leaving and not view.heartbeat.leaving:
+                self.log.record(EventName.AGENT_LEAVING, agent=address.incarnation)
             view.heartbeat = heartbeat
             view.heard_at = self.clock()
-            return False
+            was_silent, view.is_noted_silent = view.is_noted_silent, False
+            return was_silent
         self.gone.pop(address.incarnation, None)
         self._replace_predecessor(address)
         self.agents[address.incarnation] = AgentView(heartbeat, self.clock())
@@ -190,13 +199,23 @@
         now = self.clock()
         services: dict[str, list[str]] = {}
         for incarnation, view in list(self.agents.items()):
+            if not self.is_live(view) and not view.is_noted_silent:
+                view.is_noted_silent = True
+                self.log.record(EventName.AGENT_SILENT, agent=incarnation)
             if now - view.heard_at > DROP_S:
                 self.mark_gone(incarnation)
                 continue
             for service in view.heartbeat.agent.services:
                 if self.is_live(view):
                     services.setdefault(service, []).append(incarnation)
-        self.ejected = update_ejected(self.ejection, services, now)
+        self._note_ejected(update_ejected(self.ejection, services, now))
+
+    def _note_ejected(self, ejected: set[str]) -> None:
+        for incarnation in ejected - self.ejected:
+            self.log.record(EventName.TARGET_EJECTED, agent=incarnation)
+        for incarnation in self.ejected - ejected:
+            self.log.record(EventName.TARGET_READMITTED, agent=incarnation)
+        self.ejected = ejected
 
     def list_sightings(self) -> list[AgentSighting]:
         """Returns all agents as last heard."""
--- a/src/jackdawkeel/entry/daemon.py
+++ b/src/jackdawkeel/entry/daemon.py
@@ -64,7 +64,7 @@
         self.address = PeerAddress(log.incarnation, settings.advertise)
         self.configuration = ConfigurationController(self.clock())
         self.roster = RosterController(
-            settings.availability_zone, self.clock, self.is_zone_in_service
+            settings.availability_zone, self.clock, log, self.is_zone_in_service
         )
         self.node = LinkNode(
             listen=settings.link,
@@ -90,6 +90,7 @@
             redial=self.node.redial,
             apply=self._apply_configuration,
         )
+        self.metrics = Metrics({"availability_zone": settings.availability_zone})
         self.store = EtcdStore(settings.store)
         self.store_threads = ThreadPoolExecutor(STORE_CALL_THREADS, "store-call")
         self.sync = StoreSync(
@@ -98,9 +99,9 @@
             address=self.address,
             clock=self.clock,
             log=log,
+            metrics=self.metrics,
             on_failed_read=self.others.probe,
         )
-        self.metrics = Metrics({"availability_zone": settings.availability_zone})
         self.key_lease = SharedLease()
         self.in_flight = 0
         self.draining = False
@@ -184,6 +185,7 @@
                     repeat_forever(SLOW_TICK_S, self.tick_slowly, self.log)
                 ),
             ]
+            self.log.record(EventName.READY, listen=self.settings.listen_port)
             await self.stopped.wait()
             await self._drain()
             await self.loop.run_in_executor(None, server.__exit__)
@@ -228,10 +230,10 @@
 
 def run_entry(settings: EntrySettings) -> int:
     """Runs an entry until it is told to stop; returns the exit code."""
-    log = EventLog("entry", mint_incarnation(), settings.availability_zone)
-    log.record(EventName.PROCESS_STARTED, link=settings.link)
-    asyncio.run(_run(settings, log))
-    log.record(EventName.PROCESS_STOPPED)
+    with EventLog("entry", mint_incarnation(), settings.availability_zone) as log:
+        log.record(EventName.PROCESS_STARTED, link=settings.link)
+        asyncio.run(_run(settings, log))
+        log.record(EventName.PROCESS_STOPPED)
     return 0
 
 
--- a/src/jackdawkeel/entry/heartbeats.py
+++ b/src/jackdawkeel/entry/heartbeats.py
@@ -21,7 +21,7 @@
         entry.log.record(
             EventName.AGENT_HEARD,
             agent=agent.address.incarnation,
-            zone=agent.availability_zone,
+            agent_availability_zone=agent.availability_zone,
         )
     view = entry.roster.agents[agent.address.incarnation]
     entry.roster.refresh_peers(view)
--- a/src/jackdawkeel/entry/http_server.py
+++ b/src/jackdawkeel/entry/http_server.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import socket
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 from typing import Self
@@ -17,6 +18,7 @@
 from ..errors import ERROR_TABLE
 from ..errors import DispatchError
 from ..errors import ErrorKind
+from ..errors import StartError
 from ..job_request import MAX_BODY_BYTES
 
 
@@ -73,6 +75,8 @@
     ) -> None:
         """Describes the server; it listens from entering it.
 
+        Entering raises ``StartError`` if the address can't be listened on.
+
         Args:
             host: IP to listen on.
             port: Port to listen on.
@@ -104,9 +108,19 @@
         cherrypy.server.subscribe()
         root = _Root(self.handle)
         cherrypy.tree.mount(root, "/", {"/": {"request.dispatch": root.dispatch}})
-        cherrypy.engine.start()
+        self._start()
         return self
 
+    def _start(self) -> None:
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((self.host, self.port))
+            except OSError as error:
+                address = f"{self.host}:{self.port}"
+                raise StartError(f"can't listen on {address}: {error}") from error
+        cherrypy.engine.start()
+
     def __exit__(self, *_: object) -> None:
         cherrypy.engine.exit()
 
--- a/src/jackdawkeel/entry/jobs.py
+++ b/src/jackdawkeel/entry/jobs.py
@@ -23,6 +23,7 @@
 from ..messages import PeerAddress
 from ..messages import Refusal
 from ..messages import SubmitJob
+from ..metrics import HistogramName
 from .filters import ENTRY_ONLY_KINDS
 from .filters import JobCall
 from .filters import find_refusal
@@ -175,6 +176,7 @@
 async def _submit(
     entry: Entry, job_id: str, request: JobRequest, refusal: DispatchError | None
 ) -> Answer:
+    started_at = entry.clock()
     message = SubmitJob(
         job_id=job_id,
         digest=request.digest,
@@ -184,7 +186,10 @@
         deadline_ms=request.deadline_ms,
         refusal=_encode_refusal(refusal),
     )
-    return await _ask_home(entry, job_id, message)
+    answer = await _ask_home(entry, job_id, message)
+    elapsed_s = entry.clock() - started_at
+    entry.metrics.observe(HistogramName.JOB, elapsed_s, request.service)
+    return answer
 
 
 async def _ask_home(
--- a/src/jackdawkeel/entry/metrics_report.py
+++ b/src/jackdawkeel/entry/metrics_report.py
@@ -19,6 +19,7 @@
     node = entry.node
     metrics.replace_counts(CounterName.MESSAGES_SENT, node.sent)
     metrics.replace_counts(CounterName.MESSAGES_RECEIVED, node.received)
+    metrics.replace_counts(CounterName.MESSAGES_DROPPED, node.dropped)
     metrics.replace_counts(CounterName.ENVELOPES_SENT, _count_envelopes(entry))
     metrics.replace_counts(CounterName.TASKS, _count_tasks(entry))
     metrics.replace_counts(CounterName.STORE_CALLS, _count_store_calls(entry))
--- a/src/jackdawkeel/entry/other_entries.py
+++ b/src/jackdawkeel/entry/other_entries.py
@@ -69,6 +69,7 @@
         self.redial = redial
         self.addresses: list[PeerAddress] = []
         self.replied_at: dict[str, float] = {}
+        self.redial_at: dict[str, float] = {}
         self.finding: dict[str, list[asyncio.Future[PeerAddress | None]]] = {}
         self.listing: dict[int, asyncio.Queue[AgentsReply]] = {}
         self.next_query = 1
@@ -78,9 +79,10 @@
         self.addresses = [address for address in addresses if address != self.own]
         known = {address.incarnation for address in self.addresses}
         for incarnation in known:
-            self.replied_at.setdefault(incarnation, self.clock())
-        for incarnation in set(self.replied_at) - known:
-            del self.replied_at[incarnation]
+            self.redial_at.setdefault(incarnation, self.clock() + REDIAL_AFTER_S)
+        for incarnation in set(self.redial_at) - known:
+            del self.redial_at[incarnation]
+            self.replied_at.pop(incarnation, None)
             forget_entry(self.quotas, incarnation)
 
     def probe(self) -> None:
@@ -89,8 +91,8 @@
         demand = own_demand(self.quotas, now)
         message = EntryProbe(now, self.configuration.revision, demand)
         for address in self.addresses:
-            if now - self.replied_at[address.incarnation] > REDIAL_AFTER_S:
-                self.replied_at[address.incarnation] = now
+            if now > self.redial_at[address.incarnation]:
+                self.redial_at[address.incarnation] = now + REDIAL_AFTER_S
                 self.redial(address.link)
             self.send(address, message)
 
@@ -110,6 +112,7 @@
     def handle_probe_reply(self, sender: PeerAddress, message: EntryProbeReply) -> None:
         """Takes another entry's configuration and when the store confirmed it."""
         self.replied_at[sender.incarnation] = self.clock()
+        self.redial_at[sender.incarnation] = self.clock() + REDIAL_AFTER_S
         if message.confirmed_age_ms < 0:
             return
         if message.document:
--- a/src/jackdawkeel/entry/status_report.py
+++ b/src/jackdawkeel/entry/status_report.py
@@ -38,7 +38,8 @@
         EntryStatus(entry.address.incarnation, entry.address.link, True, 0),
     ]
     for address in entry.others.addresses:
-        heard_ms = int((now - entry.others.replied_at[address.incarnation]) * MS_PER_S)
+        heard_at = entry.others.replied_at.get(address.incarnation)
+        heard_ms = None if heard_at is None else int((now - heard_at) * MS_PER_S)
         statuses.append(EntryStatus(address.incarnation, address.link, False, heard_ms))
     return statuses
 
--- a/src/jackdawkeel/entry/store_sync.py
+++ b/src/jackdawkeel/entry/store_sync.py
@@ -9,6 +9,7 @@
 
 from ..controllers.document import CONFIGURATION_KEY
 from ..events import EventName
+from ..metrics import HistogramName
 from ..store.entries import ENTRY_LEASE_S
 from ..store.entries import announce_entry
 from ..store.entries import list_entries
@@ -22,6 +23,7 @@
     from ..controllers.configuration import ConfigurationController
     from ..logs import EventLog
     from ..messages import PeerAddress
+    from ..metrics import Metrics
     from ..store.interface import KeyChange
     from ..store.interface import Store
     from ..store.interface import Watch
@@ -44,6 +46,7 @@
         address: PeerAddress,
         clock: Clock,
         log: EventLog,
+        metrics: Metrics,
         on_failed_read: Callable[[], None],
     ) -> None:
         """Describes the sync.
@@ -54,6 +57,7 @@
             address: This entry.
             clock: Clock in seconds.
             log: Event log.
+            metrics: Takes the times of confirming reads.
             on_failed_read: Called when a confirming read has failed.
         """
         self.store = store
@@ -61,6 +65,7 @@
         self.address = address
         self.clock = clock
         self.log = log
+        self.metrics = metrics
         self.on_failed_read = on_failed_read
         self.entries: list[PeerAddress] = []
         self.lease_id: int | None = None
@@ -95,6 +100,7 @@
         read = await self.loop.run_in_executor(
             self.threads, self.store.get, CONFIGURATION_KEY
         )
+        self.metrics.observe(HistogramName.STORE_CALL, self.clock() - sent_at, "range")
         if read.is_err():
             self.configuration.record_failed_read(sent_at, self.clock())
             self._note_reached(False)
--- a/src/jackdawkeel/errors.py
+++ b/src/jackdawkeel/errors.py
@@ -131,3 +131,7 @@
     kind: ErrorKind
     message: str
     retry_after_ms: int | None = None
+
+
+class StartError(Exception):
+    """A daemon can't start; the message is one line for the operator."""
--- a/src/jackdawkeel/events.py
+++ b/src/jackdawkeel/events.py
@@ -18,15 +18,12 @@
     LINK_REDIALED = "link_redialed"
     MESSAGE_DROPPED = "message_dropped"
 
-    JOB_FORWARDED = "job_forwarded"
     JOB_ADMITTED = "job_admitted"
     JOB_REFUSED = "job_refused"
-    JOB_CANCELLED = "job_cancelled"
     JOB_ENDED = "job_ended"
     TASK_DISPATCHED = "task_dispatched"
     TASK_STARTED = "task_started"
     TASK_ENDED = "task_ended"
-    TASK_RETRIED = "task_retried"
 
     TICKET_ACCEPTED = "ticket_accepted"
     TICKET_REFUSED = "ticket_refused"
@@ -37,8 +34,6 @@
     AGENT_HEARD = "agent_heard"
     AGENT_SILENT = "agent_silent"
     AGENT_LEAVING = "agent_leaving"
-    ENTRY_HEARD = "entry_heard"
-    ENTRY_SILENT = "entry_silent"
     TARGET_EJECTED = "target_ejected"
     TARGET_READMITTED = "target_readmitted"
 
--- a/src/jackdawkeel/link/node.py
+++ b/src/jackdawkeel/link/node.py
@@ -17,6 +17,7 @@
 import msgspec
 import pynng
 
+from ..errors import StartError
 from ..events import EventName
 from ..messages import PROTOCOL_VERSION
 from ..messages import Envelope
@@ -87,6 +88,8 @@
     ) -> None:
         """Describes the node; sockets open on entering it.
 
+        Entering raises ``StartError`` if the address can't be listened on.
+
         Args:
             listen: Link address to listen on, ``tcp://IP:PORT``.
             address: This process as peers address it.
@@ -106,6 +109,7 @@
         self.flush_planned = False
         self.sent: Counter[str] = Counter()
         self.received: Counter[str] = Counter()
+        self.dropped: Counter[str] = Counter()
         self.envelopes_sent = 0
         self.envelopes_received = 0
         self.decoder = msgspec.msgpack.Decoder(Envelope)
@@ -115,7 +119,11 @@
         self.loop = asyncio.get_running_loop()
         self.inbox = pynng.Pull0(recv_buffer_size=RECEIVE_BUFFER_MESSAGES)
         self.inbox.recv_max_size = MAX_MESSAGE_BYTES
-        self.inbox.listen(self.listen)
+        try:
+            self.inbox.listen(self.listen)
+        except pynng.NNGException as error:
+            self.inbox.close()
+            raise StartError(f"can't listen on {self.listen}: {error}") from error
         self.receive_descriptor = self.inbox.recv_fd
         self.loop.add_reader(self.receive_descriptor, self._receive_ready)
         return self
@@ -195,7 +203,7 @@
                 self._dial(link)
             if len(link.batches) >= MAX_PENDING_BATCHES:
                 link.batches.popleft()
-                self.log.record(EventName.MESSAGE_DROPPED, peer=destination)
+                self._note_dropped("backlog", destination)
             link.batches.append(Batch(recipient, messages))
             self._drain(link)
 
@@ -236,11 +244,11 @@
         try:
             envelope = self.decoder.decode(body)
         except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-            self.log.record(EventName.MESSAGE_DROPPED, reason=str(error))
+            self._note_dropped("damaged", "", str(error))
             return
         if envelope.version != PROTOCOL_VERSION:
-            reason = f"protocol version {envelope.version}"
-            self.log.record(EventName.MESSAGE_DROPPED, reason=reason)
+            peer = envelope.sender.link
+            self._note_dropped("version", peer, f"version {envelope.version}")
             return
         self.envelopes_received += 1
         if self._is_stale(envelope):
@@ -265,15 +273,18 @@
         sender = envelope.sender.incarnation
         highest = self.sender_sessions.get(sender, 0)
         if envelope.session < highest:
-            self.log.record(
-                EventName.MESSAGE_DROPPED,
-                peer=envelope.sender.link,
-                reason=f"session {envelope.session} is older than {highest}",
-            )
+            details = f"session {envelope.session} is older than {highest}"
+            self._note_dropped("old_session", envelope.sender.link, details)
             return True
         self.sender_sessions[sender] = envelope.session
         return False
 
+    def _note_dropped(self, reason: str, peer: str, details: str = "") -> None:
+        self.dropped[reason] += 1
+        self.log.record(
+            EventName.MESSAGE_DROPPED, reason=reason, peer=peer, details=details
+        )
+
     def _redial_back(self, destination: str) -> None:
         link = self.links.get(destination)
         if link is None or link.connection is None:
--- a/src/jackdawkeel/metrics.py
+++ b/src/jackdawkeel/metrics.py
@@ -54,8 +54,6 @@
 
     REQUEST = "request_seconds"
     JOB = "job_seconds"
-    TASK_RUN = "task_run_seconds"
-    TASK_WAIT = "task_wait_seconds"
     STORE_CALL = "store_call_seconds"
 
 
@@ -87,9 +85,7 @@
     GaugeName.REQUESTS_IN_FLIGHT: Description("Requests not yet answered.", "route"),
     GaugeName.CONFIGURATION_REVISION: Description("Revision in force.", "scope"),
     HistogramName.REQUEST: Description("Time to answer a request.", "route"),
-    HistogramName.JOB: Description("Time from admission to answer.", "service"),
-    HistogramName.TASK_RUN: Description("Time that a target took.", "service"),
-    HistogramName.TASK_WAIT: Description("Time before a task started.", "service"),
+    HistogramName.JOB: Description("Time from request to answer.", "service"),
     HistogramName.STORE_CALL: Description("Time of a call to the store.", "call"),
 }
 
--- a/tests/controllers/test_roster.py
+++ b/tests/controllers/test_roster.py
@@ -14,6 +14,7 @@
 from jackdawkeel.messages import Heartbeat
 from tests.fakes import FakeClock
 from tests.fakes import make_address
+from tests.fakes import make_log
 
 
 ZONES = ["zone-a", "zone-b", "zone-c"]
@@ -25,7 +26,7 @@
         self.clock = FakeClock()
         self.zones_out: set[str] = set()
         self.roster = RosterController(
-            "zone-a", self.clock, lambda zone: zone not in self.zones_out
+            "zone-a", self.clock, make_log(), lambda zone: zone not in self.zones_out
         )
 
     def beat(self, number: int, zone: str, load: AgentLoad | None = None) -> str:
--- a/tests/link/test_node.py
+++ b/tests/link/test_node.py
@@ -11,6 +11,7 @@
 import pynng
 
 from jackdawkeel.clock import read_boot_clock
+from jackdawkeel.errors import StartError
 from jackdawkeel.link.node import LinkNode
 from jackdawkeel.messages import PROTOCOL_VERSION
 from jackdawkeel.messages import Envelope
@@ -34,11 +35,11 @@
 class Inbox:
     """Collects what a node delivers."""
 
-    def __init__(self, name: str) -> None:
+    def __init__(self, name: str, link: str = "") -> None:
         self.messages: list[Message] = []
         self.lines: list[bytes] = []
         self.node = LinkNode(
-            listen=(link := find_link()),
+            listen=(link := link or find_link()),
             address=PeerAddress(name, link),
             clock=read_boot_clock,
             log=make_log(self.lines),
@@ -140,3 +141,7 @@
         self.assertEqual(self.two.node.links[self.sender.link].session, 2)
         self.two.node.send(self.sender, JobQuery("back again"))
         await self.one.wait_for(2)
+
+    async def test_address_in_use_is_a_start_error(self) -> None:
+        with self.assertRaisesRegex(StartError, "can't listen on tcp://"):
+            self.enterContext(Inbox("4" * 16, self.one.node.listen).node)
