--- a/src/jackdawkeel/controllers/job_keys.py
+++ b/src/jackdawkeel/controllers/job_keys.py
@@ -21,6 +21,7 @@
 
 KEY_WINDOW_S = 24 * 60 * 60
 LEASE_SHARE_S = 300
+GRANT_RETRY_DELAY_S = 1.0
 MAX_CLAIM_ATTEMPTS = 4
 _UNKNOWN = StoreErrorKind.OUTCOME_UNKNOWN
 JOB_KEY_PREFIX = b"/jackdawkeel/job_keys/"
@@ -31,7 +32,9 @@
 
     It spares a grant per key. The lease is granted for the window and the time in
     which it is shared, so a key is known for at least ``window_s`` after its claim,
-    and for at most ``window_s`` and ``share_s`` together.
+    and for at most ``window_s`` and ``share_s`` together. After a failed grant, claims
+    are refused for ``GRANT_RETRY_DELAY_S`` without a call, so that they do not queue
+    up behind each other's timeouts.
 
     Args:
         window_s: Time for which a claimed key is known at least, in seconds.
@@ -51,6 +54,8 @@
         self.lock = threading.Lock()
         self.lease_id = 0
         self.shared_until = float("-inf")
+        self.failure: StoreError | None = None
+        self.retry_at = float("-inf")
 
     def take(self, store: Store) -> Result[int, StoreError]:
         """Returns the id of the present lease; grants a new one if it is due."""
@@ -58,11 +63,9 @@
             now = self.clock()
             if now < self.shared_until:
                 return Ok(self.lease_id)
-            granted = store.grant_lease(self.window_s + self.share_s)
-            if isinstance(granted, Ok):
-                self.lease_id = granted.ok_value
-                self.shared_until = now + self.share_s
-            return granted
+            if self.failure is not None and now < self.retry_at:
+                return Err(self.failure)
+            return self._grant(store, now)
 
     def discard(self, lease_id: int) -> None:
         """Forgets a lease that the store no longer knows."""
@@ -70,6 +73,17 @@
             if lease_id == self.lease_id:
                 self.shared_until = float("-inf")
 
+    def _grant(self, store: Store, now: float) -> Result[int, StoreError]:
+        granted = store.grant_lease(self.window_s + self.share_s)
+        if isinstance(granted, Err):
+            self.failure = granted.err_value
+            self.retry_at = self.clock() + GRANT_RETRY_DELAY_S
+            return granted
+        self.failure = None
+        self.lease_id = granted.ok_value
+        self.shared_until = now + self.share_s
+        return granted
+
 
 def claim_key(
     store: Store, lease: SharedLease, scope: str, idempotency_key: str, job_id: str
--- a/tests/controllers/test_job_keys.py
+++ b/tests/controllers/test_job_keys.py
@@ -5,6 +5,7 @@
 import unittest
 from collections import deque
 
+from jackdawkeel.controllers.job_keys import GRANT_RETRY_DELAY_S
 from jackdawkeel.controllers.job_keys import KEY_WINDOW_S
 from jackdawkeel.controllers.job_keys import LEASE_SHARE_S
 from jackdawkeel.controllers.job_keys import MAX_CLAIM_ATTEMPTS
@@ -78,6 +79,16 @@
         self.assertEqual(answer.unwrap_err().kind, ErrorKind.STORE_UNAVAILABLE)
         self.assertEqual(self.store.items, {})
 
+    def test_claims_do_not_queue_up_for_a_grant(self) -> None:
+        self.store.grant_faults.extend([Fault.DOWN, Fault.DOWN])
+        for _ in range(5):
+            claim_key(self.store, self.lease, "team", "key", "first").unwrap_err()
+        self.assertEqual(len(self.store.grant_faults), 1)
+        self.now += GRANT_RETRY_DELAY_S
+        claim_key(self.store, self.lease, "team", "key", "first").unwrap_err()
+        self.now += GRANT_RETRY_DELAY_S
+        self.assertEqual(self.claim("second"), "second")
+
     def test_keys_share_a_lease_for_some_minutes(self) -> None:
         self.claim("1", key="a")
         self.now = LEASE_SHARE_S - 1.0
