--- a/bench/model/simulator.py
+++ b/bench/model/simulator.py
@@ -92,7 +92,7 @@
         home = self.agents[name]
         job = Job(arrival, home, entry, len(arrival.run_s))
         entry.outstanding[name] = entry.outstanding.get(name, 0) + 1
-        tasks = [Task(job, run_s) for run_s in arrival.run_s]
+        tasks = [Task(job, i, run_s) for i, run_s in enumerate(arrival.run_s)]
         self.tally.messages += 1
         delay_s = NEAR_S if entry.zone == home.zone else FAR_S
         self.schedule(delay_s, lambda: self.admit(home, tasks))
@@ -142,7 +142,9 @@
 
     def insert(self, queue: list[Task], task: Task) -> None:
         """Puts a task at its place in a queue."""
-        bisect.insort(queue, task, key=lambda one: self.ways.order(one.job.arrival))
+        bisect.insort(
+            queue, task, key=lambda one: self.ways.order(one.job.arrival, one.index)
+        )
 
     def place_pending(self, home: Agent) -> None:
         """Sends out what fits on free slots and short queues."""
@@ -163,23 +165,20 @@
             self.candidate(agent, home.outstanding, home.views)
             for agent in self.agents.values()
         ]
-        if reserved:
-            candidates = [_reserve(one, reserved) for one in candidates]
         if task.copies:
             candidates = [
                 one
                 for one in candidates
                 if task.executor and one.incarnation != task.executor.name
             ]
-        allowance = 0 if task.copies or reserved else self.ways.queue_allowance
-        return self.ways.executor(candidates, home.name, home.zone, allowance, self.rng)
+        allowance = 0 if task.copies else self.ways.queue_allowance
+        return self.ways.executor(
+            candidates, home.name, home.zone, allowance, self.rng, reserved
+        )
 
     def reserved_slots(self, task: Task) -> int:
         """Returns the slots that a task must leave free."""
-        arrival = task.job.arrival
-        if len(arrival.run_s) == 1:
-            return 0
-        if self.now - arrival.at_s > self.ways.patience_s:
+        if len(task.job.arrival.run_s) == 1:
             return 0
         if self.learned.busy_share > self.ways.reserve_below:
             return 0
@@ -341,17 +340,3 @@
             self.start_queued(agent)
         for agent in self.agents.values():
             self.place_pending(agent)
-
-
-def _reserve(candidate: Candidate, reserved: int) -> Candidate:
-    slots = max(candidate.slots - reserved, 0)
-    return Candidate(
-        candidate.incarnation,
-        candidate.availability_zone,
-        slots,
-        candidate.outstanding,
-        candidate.reported,
-        candidate.ejected,
-        candidate.leaving,
-        candidate.in_service,
-    )
--- a/bench/model/state.py
+++ b/bench/model/state.py
@@ -11,6 +11,7 @@
 from bench.workload import JobArrival
 from jackdawkeel.policy.candidates import Candidate
 from jackdawkeel.policy.ejection import EjectionState
+from jackdawkeel.policy.job_order import rank_job
 from jackdawkeel.policy.placement import choose_executor
 from jackdawkeel.policy.placement import choose_home
 from jackdawkeel.policy.retry_budget import HEDGE_RATIO
@@ -20,22 +21,16 @@
 
 HomeChoice = Callable[[Sequence[Candidate], str, random.Random], str | None]
 ExecutorChoice = Callable[
-    [Sequence[Candidate], str, str, int, random.Random], str | None
+    [Sequence[Candidate], str, str, int, random.Random, int], str | None
 ]
 
 
-SIZE_WEIGHT_S = 0.1
-JobOrder = Callable[[JobArrival], float]
+JobOrder = Callable[[JobArrival, int], float]
 
 
-def arrival_order(arrival: JobArrival) -> float:
-    """Ranks jobs by their arrival."""
-    return arrival.at_s
-
-
-def rank_by_age_and_size(arrival: JobArrival) -> float:
-    """Ranks jobs by their arrival plus a time for each of their tasks."""
-    return arrival.at_s + SIZE_WEIGHT_S * len(arrival.run_s)
+def policy_order(arrival: JobArrival, _index: int) -> float:
+    """Ranks tasks as the policy does."""
+    return rank_job(arrival.at_s, len(arrival.run_s))
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,7 +42,6 @@
         executor: Choice of the target of a task.
         queue_allowance: Tasks that homes let wait at a target.
         reserved: Slots of each target that tasks of larger jobs leave free.
-        patience_s: Waiting time after which a task may use reserved slots.
         reserve_below: Mean share of busy slots above which none are reserved.
         order: Rank of a job's tasks in queues, the lowest first.
         ejects: Whether failing agents are ejected.
@@ -60,9 +54,8 @@
     executor: ExecutorChoice = choose_executor
     queue_allowance: int = 1
     reserved: int = 0
-    patience_s: float = 1e6
     reserve_below: float = 1.0
-    order: JobOrder = rank_by_age_and_size
+    order: JobOrder = policy_order
     ejects: bool = True
     hedges: bool = False
     refuses: bool = False
@@ -86,6 +79,7 @@
     """A task of a job."""
 
     job: Job
+    index: int
     run_s: float
     copies: int = 0
     dispatched_s: float = 0.0
--- a/bench/model/ways.py
+++ b/bench/model/ways.py
@@ -19,12 +19,10 @@
     from bench.model.state import ExecutorChoice
     from bench.model.state import HomeChoice
     from bench.model.state import JobOrder
-from bench.workload import JobArrival
-from bench.workload import mean_run_s
+    from bench.workload import JobArrival
 
 
 SOONER_S = 1e6
-SHARE_S = mean_run_s() / 80
 CHOICES = {"random": 1, "of two": 2, "of three": 3, "of five": 5, "least of all": 1000}
 
 
@@ -54,29 +52,41 @@
         _own_zone: str,
         queue_allowance: int,
         rng: random.Random,
+        reserved: int = 0,
     ) -> str | None:
         usable = [one for one in candidates if accepts_work(one)]
-        room = [one for one in usable if free_slots(one) + queue_allowance > 0]
+        allowance = 0 if reserved else queue_allowance
+        room = [one for one in usable if free_slots(one) + allowance > reserved]
         chosen = least_loaded_of_few(room, CHOICES[name], rng)
         return None if chosen is None else chosen.incarnation
 
     return choose
 
 
-def singles_first(arrival: JobArrival) -> float:
+def arrival_order(arrival: JobArrival, _index: int) -> float:
+    """Ranks tasks by the arrival of their jobs."""
+    return arrival.at_s
+
+
+def turns(arrival: JobArrival, index: int) -> float:
+    """Has jobs take turns: the first tasks of all go before the second ones."""
+    return arrival.at_s + SOONER_S * index
+
+
+def singles_first(arrival: JobArrival, _index: int) -> float:
     """Ranks single requests before jobs."""
     return arrival.at_s - (SOONER_S if len(arrival.run_s) == 1 else 0)
 
 
-def smallest_first(arrival: JobArrival) -> float:
+def smallest_first(arrival: JobArrival, _index: int) -> float:
     """Ranks jobs by their number of tasks, then by arrival."""
     return arrival.at_s + SOONER_S * len(arrival.run_s)
 
 
-def aged_size(weight: float) -> JobOrder:
-    """Returns an order by arrival plus the job's time on all slots, weighted."""
+def aged_size(weight_s: float) -> JobOrder:
+    """Returns an order by arrival plus a time for each task of the job."""
 
-    def rank(arrival: JobArrival) -> float:
-        return arrival.at_s + weight * len(arrival.run_s) * SHARE_S
+    def rank(arrival: JobArrival, _index: int) -> float:
+        return arrival.at_s + weight_s * len(arrival.run_s)
 
     return rank
--- a/bench/policy_model.py
+++ b/bench/policy_model.py
@@ -20,12 +20,14 @@
 from bench.model.state import JobOrder
 from bench.model.state import Tally
 from bench.model.state import Ways
-from bench.model.state import arrival_order
+from bench.model.state import policy_order
 from bench.model.ways import aged_size
+from bench.model.ways import arrival_order
 from bench.model.ways import executor_of
 from bench.model.ways import home_of
 from bench.model.ways import singles_first
 from bench.model.ways import smallest_first
+from bench.model.ways import turns
 from bench.workload import WorkloadShape
 from bench.workload import generate_jobs
 from bench.workload import ideal_s
@@ -157,11 +159,12 @@
     """Whose tasks go first in queues."""
     orders: dict[str, JobOrder] = {
         "arrival": arrival_order,
+        "turns": turns,
         "singles first": singles_first,
         "smallest first": smallest_first,
-        "arrival + 1 x size": aged_size(1),
-        "arrival + 5 x size": aged_size(5),
-        "arrival + 20 x size": aged_size(20),
+        "arrival + 5 ms a task": aged_size(0.005),
+        "arrival + 25 ms a task": aged_size(0.025),
+        "policy, 100 ms a task": policy_order,
     }
     return [
         summarise(f"{load:.0%}, {name}", run_model(ways, options, load))
@@ -177,8 +180,6 @@
         "none": Ways(reserved=0),
         "1": Ways(reserved=1),
         "2": Ways(reserved=2),
-        "1 for 1 s": Ways(reserved=1, patience_s=1.0),
-        "1 for 2 s": Ways(reserved=1, patience_s=2.0),
         "1 below 80% busy": Ways(reserved=1, reserve_below=0.8),
         "1 below 85% busy": Ways(reserved=1, reserve_below=0.85),
         "2 below 75% busy": Ways(reserved=2, reserve_below=0.75),
--- a/src/jackdawkeel/policy/placement.py
+++ b/src/jackdawkeel/policy/placement.py
@@ -29,6 +29,7 @@
     own_zone: str,
     queue_allowance: int,
     rng: random.Random,
+    reserved: int = 0,
 ) -> str | None:
     """Chooses where a task of a job starts next.
 
@@ -41,17 +42,21 @@
         own_zone: The home's availability zone.
         queue_allowance: Tasks that may wait at a target beyond its slots.
         rng: Decides between candidates.
+        reserved: Slots of each target that the task leaves free; with any, it does
+            not queue.
 
     Returns:
         The incarnation of the executing agent, or None when all are full; the task
         then stays at home until a slot is free.
     """
     usable = [one for one in candidates if accepts_work(one)]
-    free = [one for one in usable if free_slots(one) > 0]
+    free = [one for one in usable if free_slots(one) > reserved]
     for tier in _split_by_distance(free, own_incarnation, own_zone):
         chosen = least_loaded_of_few(tier, EXECUTOR_CHOICES, rng)
         if chosen is not None:
             return chosen.incarnation
+    if reserved:
+        return None
     room = [one for one in usable if free_slots(one) + queue_allowance > 0]
     chosen = least_loaded_of_few(room, EXECUTOR_CHOICES, rng, _rank_from(own_zone))
     return None if chosen is None else chosen.incarnation
--- a/tests/policy/test_placement.py
+++ b/tests/policy/test_placement.py
@@ -45,6 +45,20 @@
                 chosen = choose_executor(candidates, "own", "z1", allowance, rng)
                 self.assertEqual(chosen, expected)
 
+    def test_reserved_slots_stay_free(self) -> None:
+        one_free = Candidate("own", "z1", 8, outstanding=7)
+        cases = [
+            ("passes on", [one_free, FAR], 1, "far"),
+            ("stays at home", [one_free], 1, None),
+            ("does not queue", [full("own", "z1")], 1, None),
+            ("may take the last slot", [one_free], 0, "own"),
+        ]
+        for name, candidates, reserved, expected in cases:
+            with self.subTest(name):
+                rng = random.Random(1)
+                chosen = choose_executor(candidates, "own", "z1", 2, rng, reserved)
+                self.assertEqual(chosen, expected)
+
 
 class ChooseHomeTest(unittest.TestCase):
     def test_table(self) -> None:
