--- /dev/null
+++ b/bench/baseline.py
@@ -0,0 +1,67 @@
+"""The baseline: a random target for each task, with no limits and no dispatcher."""
+
+from __future__ import annotations
+
+import random
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+from typing import TYPE_CHECKING
+
+import urllib3
+from tests.standins.fleet import SERVICE
+from urllib3.exceptions import HTTPError
+
+from bench.callers import send_open_loop
+from bench.fleet import SLOTS
+
+
+if TYPE_CHECKING:
+    from bench.callers import Call
+    from bench.fleet import BenchFleet
+    from bench.workload import JobArrival
+
+
+TASK_THREADS = 1200
+TIMEOUT_S = 120.0
+
+
+class RandomCallers:
+    """Posts each task straight to a random target, which queues without limit.
+
+    The stand-in has no slots of its own, so a semaphore stands for them here.
+    """
+
+    def __init__(self, fleet: BenchFleet, seed: int) -> None:
+        self.rng = random.Random(seed)
+        self.urls = [agent.target.url for agent in fleet.agents]
+        self.slots = {url: threading.Semaphore(SLOTS) for url in self.urls}
+        self.http = urllib3.PoolManager(
+            retries=False, timeout=TIMEOUT_S, maxsize=SLOTS, num_pools=len(self.urls)
+        )
+        self.calls: list[Call] = []
+
+    def run(self, arrivals: list[JobArrival], start_at: float) -> None:
+        """Sends all jobs and waits for their answers."""
+        with ThreadPoolExecutor(TASK_THREADS) as tasks:
+            self.tasks = tasks
+            send_open_loop(arrivals, start_at, self.calls, self.send)
+
+    def send(self, call: Call) -> None:
+        """Runs the tasks of one job at once."""
+        futures = [self.tasks.submit(self.run_task, one) for one in call.arrival.run_s]
+        good = all(future.result() for future in futures)
+        call.outcome = "done" if good else "failed"
+
+    def run_task(self, run_s: float) -> bool:
+        """Runs one task at a random target."""
+        url = self.rng.choice(self.urls)
+        with self.slots[url]:
+            began = time.monotonic()
+            try:
+                reply = self.http.request(
+                    "POST", f"{url}/tasks/{SERVICE}", json={"sleep_ms": run_s * 1000}
+                )
+            except HTTPError:
+                return False
+            return reply.status == 200 and time.monotonic() - began >= run_s / 2
--- /dev/null
+++ b/bench/load.py
@@ -0,0 +1,116 @@
+"""The load tool: real processes at today's size under the cases of ``cases.py``.
+
+Usage: .venv/bin/python -m bench.load [--seconds 30] [--seed 1] [CASE...]
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import os
+import sys
+import time
+from dataclasses import asdict
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from bench.baseline import RandomCallers
+from bench.callers import Callers
+from bench.cases import CASES
+from bench.cases import StepRunner
+from bench.cases import make_arrivals
+from bench.figures import Figures
+from bench.figures import make_figures
+from bench.figures import open_meter
+from bench.figures import print_table
+from bench.fleet import BenchFleet
+from bench.workload import SINGLE_SHARE
+
+
+if TYPE_CHECKING:
+    from bench.cases import Case
+
+
+LEAD_S = 1.0
+COUNTER_LAG_S = 1.5
+
+
+@dataclass(frozen=True, slots=True)
+class Options:
+    """How the cases are run.
+
+    Attributes:
+        seconds: Length of the arrivals.
+        seed: Seed of all draws.
+        zone_delay_ms: One-way latency between availability zones, by proxies.
+        single_share: Share of the jobs that have one task.
+    """
+
+    seconds: float
+    seed: int
+    zone_delay_ms: float
+    single_share: float
+
+
+def run_case(case: Case, options: Options) -> Figures:
+    """Runs one case on a fleet of its own."""
+    with BenchFleet(options.zone_delay_ms) as fleet:
+        fleet.delay_between_zones()
+        arrivals = make_arrivals(
+            case,
+            fleet.total_slots,
+            options.seconds,
+            options.seed,
+            options.single_share,
+        )
+        callers = Callers(fleet, options.seed, case.ids_for_all)
+        sender = RandomCallers(fleet, options.seed) if case.baseline else callers
+        steps = StepRunner(case, fleet, callers)
+        meter = open_meter(fleet)
+        began = time.monotonic() + LEAD_S
+        thread = steps.start(began, options.seconds)
+        sender.run(arrivals, began)
+        thread.join()
+        ran_s = time.monotonic() - began
+        uses = (
+            meter.find_use(fleet, "agent", ran_s),
+            meter.find_use(fleet, "entry", ran_s),
+        )
+        time.sleep(COUNTER_LAG_S)
+        envelopes = meter.count_envelopes(fleet)
+        return make_figures(
+            case,
+            fleet,
+            sender.calls,
+            began,
+            options.seconds,
+            envelopes,
+            uses,
+            steps.errors,
+        )
+
+
+def main(arguments: list[str]) -> None:
+    """Runs the chosen cases and prints a table and one JSON line."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("cases", nargs="*", default=[])
+    parser.add_argument("--seconds", type=float, default=30.0)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--zone-delay-ms", type=float, default=0.0)
+    parser.add_argument("--single-share", type=float, default=SINGLE_SHARE)
+    parsed = parser.parse_args(arguments)
+    options = Options(
+        parsed.seconds, parsed.seed, parsed.zone_delay_ms, parsed.single_share
+    )
+    rows: list[Figures] = []
+    for name in parsed.cases or CASES:
+        print(f"running {name}", file=sys.stderr)
+        rows.append(run_case(CASES[name], options))
+    print_table(rows)
+    load_average = os.getloadavg()[0]
+    result = {**asdict(options), "load_average": load_average}
+    print(json.dumps({**result, "cases": [asdict(row) for row in rows]}))
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
--- /dev/null
+++ b/bench/measures.py
@@ -0,0 +1,114 @@
+"""Figures of a run: ratios to the ideal, outcomes, work done and messages."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from hdrh.histogram import HdrHistogram
+
+from bench.workload import ideal_s
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from tests.standins.target import TaskStart
+
+    from bench.callers import Call
+
+
+SCALE = 1000
+HIGHEST = 10_000_000
+DIGITS = 3
+MS_PER_S = 1000.0
+
+
+@dataclass(frozen=True, slots=True)
+class Quantiles:
+    """Quantiles of some values; all 0 without any."""
+
+    count: int
+    p50: float
+    p90: float
+    p99: float
+
+    def __str__(self) -> str:
+        return f"{self.p50:.3g}/{self.p90:.3g}/{self.p99:.3g}"
+
+
+@dataclass(frozen=True, slots=True)
+class Window:
+    """A time window on the monotonic clock, in seconds."""
+
+    from_s: float
+    to_s: float
+
+
+def find_quantiles(values: Iterable[float]) -> Quantiles:
+    """Returns quantiles by hdrhistogram, to three significant digits."""
+    histogram = HdrHistogram(1, HIGHEST, DIGITS)
+    for value in values:
+        histogram.record_value(min(max(round(value * SCALE), 1), HIGHEST))
+    read = [histogram.get_value_at_percentile(rank) / SCALE for rank in (50, 90, 99)]
+    return Quantiles(histogram.get_total_count(), *read)
+
+
+def find_ratios(calls: Iterable[Call], slots: int) -> Quantiles:
+    """Returns response times of whole answers against the ideal."""
+    return find_quantiles(
+        call.response_s / ideal_s(call.arrival.run_s, slots)
+        for call in calls
+        if call.outcome == "done"
+    )
+
+
+def find_refusal_ms(calls: Iterable[Call]) -> Quantiles:
+    """Returns how long refusals took, from the sending on, in milliseconds."""
+    return find_quantiles(
+        (call.response_s - call.late_s) * MS_PER_S
+        for call in calls
+        if call.outcome == "not_run"
+    )
+
+
+def count_outcomes(calls: Iterable[Call]) -> dict[str, int]:
+    """Returns the number of calls by outcome and kind of error."""
+    return dict(
+        Counter(
+            f"{call.outcome}:{call.kind}" if call.kind else call.outcome
+            for call in calls
+        )
+    )
+
+
+def find_work_share(
+    starts: Iterable[TaskStart], calls: Iterable[Call], window: Window, slots: int
+) -> float:
+    """Returns the slot time that tasks took in a window, against all slots."""
+    runs = {call.job_id: call.arrival.run_s for call in calls if call.job_id}
+    work_s = 0.0
+    for start in starts:
+        job_id, _, index = start.task_id.rpartition("/")
+        if job_id in runs:
+            end_s = min(start.at + runs[job_id][int(index)], window.to_s)
+            work_s += max(0.0, end_s - max(start.at, window.from_s))
+    return work_s / ((window.to_s - window.from_s) * slots)
+
+
+def count_repeated_starts(starts: Iterable[TaskStart], calls: Iterable[Call]) -> int:
+    """Returns how many tasks of jobs that are not idempotent started again."""
+    idempotent = {call.job_id for call in calls if call.arrival.idempotent}
+    counts = Counter(start.task_id for start in starts)
+    return sum(
+        count - 1
+        for task_id, count in counts.items()
+        if task_id.rpartition("/")[0] not in idempotent
+    )
+
+
+def count_started_refusals(starts: Iterable[TaskStart], calls: Iterable[Call]) -> int:
+    """Returns how many jobs were answered ``not_run`` although a task started."""
+    started = {start.task_id.rpartition("/")[0] for start in starts}
+    return sum(call.outcome == "not_run" and call.job_id in started for call in calls)
--- a/bench/model/simulator.py
+++ b/bench/model/simulator.py
@@ -85,7 +85,7 @@
         if self.ways.refuses and self.is_refused(arrival):
             self.tally.refused += 1
             return
-        name = self.choose_home(entry)
+        name = self.choose_home(entry, arrival.idempotent)
         if name is None:
             self.tally.refused += 1
             return
@@ -106,11 +106,13 @@
         load = ServiceLoad(slots, running, held - running, self.learned.run_time)
         return find_refusal(load, len(arrival.run_s), DEADLINE_MS, None) is not None
 
-    def choose_home(self, entry: Entry) -> str | None:
+    def choose_home(self, entry: Entry, is_idempotent: bool) -> str | None:
         """Chooses a home, or an ejected agent as a probe."""
         if self.ways.ejects:
             for name in self.agents:
-                if admit_probe(entry.ejection, name, self.now):
+                if admit_probe(
+                    entry.ejection, name, self.now, is_idempotent=is_idempotent
+                ):
                     return name
         candidates = [
             self.candidate(agent, entry.outstanding, entry.views)
--- a/bench/workload.py
+++ b/bench/workload.py
@@ -6,6 +6,7 @@
 import math
 import random
 from dataclasses import dataclass
+from dataclasses import replace
 
 
 SHORT_MIN_S = 0.05
@@ -32,6 +33,10 @@
     run_s: list[float]
     idempotent: bool
 
+    def delayed(self, delay_s: float) -> JobArrival:
+        """Returns the same job some seconds later."""
+        return replace(self, at_s=self.at_s + delay_s)
+
 
 @dataclass(frozen=True, slots=True)
 class WorkloadShape:
