Know the own target's load exactly, and fill its slots as they free

Cause: a home learned what other homes hold at its own target only from its own reports, which stop when it has nothing there. A task that waited at home also heard of a slot that another home's task left only at the next tick, 50 ms later.

The execution controller now counts what it holds for other homes, and the end of any task fills the slot from the waiting jobs.

--- a/src/jackdawkeel/agent/daemon.py
+++ b/src/jackdawkeel/agent/daemon.py
@@ -39,6 +39,7 @@
     from ..messages import HeartbeatReply
     from ..messages import Message
     from ..settings import AgentSettings
+    from ..target.client import TargetResult
 
 
 TICK_S = 0.05
@@ -92,6 +93,7 @@
             ),
             self.clock,
             self.configuration.is_zone_in_service,
+            lambda: self.execution.count_held_for_others(self.address.incarnation),
         )
         self.execution = ExecutionController(
             slots=settings.slots,
@@ -153,7 +155,12 @@
             permit_expires_at,
             timeout_s,
         )
-        self.loop.call_soon_threadsafe(self.execution.handle_result, record, result)
+        self.loop.call_soon_threadsafe(self.end_task, record, result)
+
+    def end_task(self, record: TaskRecord, result: TargetResult) -> None:
+        """Reports a task that has ended, and fills the slot it leaves."""
+        self.execution.handle_result(record, result)
+        self.dispatch.dispatch_ready()
 
     def apply_heartbeat_reply(self, sender: PeerAddress, reply: HeartbeatReply) -> None:
         """Takes configuration, lease, entries and peers from an entry."""
--- a/src/jackdawkeel/controllers/execution.py
+++ b/src/jackdawkeel/controllers/execution.py
@@ -65,6 +65,7 @@
         oldest_open: Dispatches with lower numbers are settled.
         forgotten: Whether records that the home had not settled were dropped.
         records: The records by dispatch number.
+        held: Dispatches that wait or run.
         unsent: Reports that leave with the next message.
     """
 
@@ -73,6 +74,7 @@
     oldest_open: int = 0
     forgotten: bool = False
     records: dict[int, TaskRecord] = field(default_factory=dict)
+    held: int = 0
     unsent: list[TaskReport] = field(default_factory=list)
 
 
@@ -124,6 +126,7 @@
             expires_at = self.clock() + task.deadline_ms / 1000
             record = TaskRecord(task, home, expires_at)
             records.records[task.number] = record
+            records.held += 1
             if len(self.queue) >= self.queue_limit + self.slots - self.running:
                 self._end(record, TaskState.NOT_STARTED, reason="the queue is full")
                 continue
@@ -176,6 +179,12 @@
             self.running += 1
             self.start(record)
 
+    def count_held_for_others(self, incarnation: str) -> int:
+        """Returns the dispatches that wait or run for other homes than this one."""
+        return sum(
+            records.held for name, records in self.homes.items() if name != incarnation
+        )
+
     def has_unsettled(self) -> bool:
         """Returns whether some home has not settled a result that it was sent."""
         return any(
@@ -249,6 +258,7 @@
             reason=reason,
         )
         records = self.homes[record.home.incarnation]
+        records.held -= 1
         records.unsent.append(self._describe(records, record.task.number))
         if self.kept_bytes > MAX_KEPT_RESULT_BYTES:
             self._drop_bodies()
--- a/src/jackdawkeel/controllers/peers.py
+++ b/src/jackdawkeel/controllers/peers.py
@@ -90,8 +90,19 @@
         own: PeerStatus,
         clock: Clock,
         is_zone_in_service: Callable[[str], bool],
+        count_held_for_others: Callable[[], int],
     ) -> None:
+        """Describes the controller.
+
+        Args:
+            own: This agent.
+            clock: Clock in seconds.
+            is_zone_in_service: Returns whether tasks may start in a zone.
+            count_held_for_others: Returns the tasks of other homes that run or wait
+                at the own target now.
+        """
         self.clock = clock
+        self.count_held_for_others = count_held_for_others
         self.is_zone_in_service = is_zone_in_service
         self.own = Peer(own)
         self.own_ejected = False
@@ -159,7 +170,7 @@
             if not self.is_zone_in_service(status.availability_zone):
                 continue
             slots += status.slots
-            held += len(peer.outstanding) + peer.reported
+            held += len(peer.outstanding) + self._count_reported(peer)
             if peer is not self.own:
                 waiting_elsewhere += peer.waiting
         return ServiceCapacity(slots, held, waiting_elsewhere)
@@ -204,12 +215,15 @@
             availability_zone=status.availability_zone,
             slots=status.slots,
             outstanding=len(peer.outstanding),
-            reported=peer.reported,
+            reported=self._count_reported(peer),
             ejected=peer is self.own and self.own_ejected and now < self.own_probe_at,
             leaving=peer is self.own and self.own_leaving,
             in_service=self.is_zone_in_service(status.availability_zone),
         )
 
+    def _count_reported(self, peer: Peer) -> int:
+        return self.count_held_for_others() if peer is self.own else peer.reported
+
     def _may_get_work(self, peer: Peer, service: str, now: float) -> bool:
         if service not in peer.status.services or now < peer.backoff_until:
             return False
--- a/tests/controllers/test_dispatch.py
+++ b/tests/controllers/test_dispatch.py
@@ -56,10 +56,12 @@
         self.outbox = Outbox()
         self.answers: dict[str, Answer] = {}
         self.zones_out: set[str] = set()
+        self.held_for_others = 0
         self.peers = PeerController(
             make_peer(OWN, "zone-a"),
             self.clock,
             lambda zone: zone not in self.zones_out,
+            lambda: self.held_for_others,
         )
         listed = [make_peer(NEAR, "zone-a"), make_peer(FAR, "zone-b")]
         self.peers.apply_list(listed, [PeerLoad(0, 0)] * 2)
@@ -111,6 +113,14 @@
         peers = [out.peer for out in self.take_out()]
         self.assertEqual(peers, [OWN] * SLOTS + [NEAR] * SLOTS + [FAR] * SLOTS)
 
+    def test_own_slots_that_others_hold_are_not_free_until_they_end(self) -> None:
+        self.held_for_others = SLOTS
+        self.submit(1)
+        self.assertEqual([out.peer for out in self.take_out()], [NEAR])
+        self.held_for_others = 0
+        self.submit(1)
+        self.assertEqual([out.peer for out in self.take_out()], [OWN])
+
     def test_tasks_stay_at_home_when_all_are_full(self) -> None:
         self.submit(100)
         out = self.take_out()
--- a/tests/controllers/test_execution.py
+++ b/tests/controllers/test_execution.py
@@ -71,6 +71,18 @@
         self.assertEqual([record.task.number for record in self.started], [1, 2, 3])
         self.assertEqual(self.take_states(), {1: "done"})
 
+    def test_counts_what_is_held_for_others(self) -> None:
+        other = make_address("b" * 16)
+        self.execution.handle_dispatch(HOME, make_dispatch(1))
+        self.execution.handle_dispatch(other, make_dispatch(1, 2, 3))
+        count = self.execution.count_held_for_others
+        self.assertEqual(count(HOME.incarnation), 2)
+        self.assertEqual(count(other.incarnation), 1)
+        self.end(self.started[0])
+        self.assertEqual(count(other.incarnation), 0)
+        self.end(self.started[1])
+        self.assertEqual(count(HOME.incarnation), 1)
+
     def test_a_copy_of_a_dispatch_starts_nothing(self) -> None:
         self.execution.handle_dispatch(HOME, make_dispatch(1))
         self.execution.handle_dispatch(HOME, make_dispatch(1))
