--- a/tests/integration/steady_load.py
+++ b/tests/integration/steady_load.py
@@ -109,6 +109,13 @@
         ]
         return sum(done)
 
+    def wait_for_work(self, timeout_s: float = 10.0) -> None:
+        """Waits until a job is done from now on."""
+        since = time.monotonic()
+        self.fleet.wait_until(
+            lambda: self.count_done_since(since) > 0, "a job to be done", timeout_s
+        )
+
     def _call_forever(self, generator: random.Random) -> None:
         callers = {
             entry.host: Caller(entry.caller.url, keep_alive=False)
