--- a/src/jackdawkeel/agent/daemon.py
+++ b/src/jackdawkeel/agent/daemon.py
@@ -29,6 +29,8 @@
 from ..target.client import TargetClient
 from .heartbeat import make_heartbeat
 from .home import Home
+from .leaving import announce_end
+from .leaving import announce_leaving
 from .refusals import find_job_refusal
 from .routing import route_message
 
@@ -50,6 +52,7 @@
 TASK_GRACE_S = 2.0
 QUEUE_LIMIT_PER_SLOT = 2
 DRAIN_POLL_S = 0.05
+DRAIN_NOTICE_S = 3.0
 DRAIN_SETTLE_S = 5.0
 DRAIN_LINGER_S = 0.3
 
@@ -179,6 +182,8 @@
             await self._drain()
             for task in tasks:
                 task.cancel()
+            announce_end(self)
+            await asyncio.sleep(DRAIN_LINGER_S)
         self.threads.shutdown(wait=False)
 
     def _install_signals(self) -> None:
@@ -194,15 +199,16 @@
         self.peers.own_leaving = True
         self.execution.start_ready()
         self.send_heartbeats()
+        announce_leaving(self)
         self.stopped.set()
 
     async def _drain(self) -> None:
         while self.dispatch.jobs or self.execution.running:
             await asyncio.sleep(DRAIN_POLL_S)
+        await asyncio.sleep(DRAIN_NOTICE_S)
         settle_until = self.clock() + DRAIN_SETTLE_S
         while self.execution.has_unsettled() and self.clock() < settle_until:
             await asyncio.sleep(DRAIN_POLL_S)
-        await asyncio.sleep(DRAIN_LINGER_S)
 
     def tick(self) -> None:
         """Lets time pass for all controllers."""
--- /dev/null
+++ b/src/jackdawkeel/agent/leaving.py
@@ -0,0 +1,33 @@
+"""What a leaving agent tells homes and entries."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..messages import AgentLeaving
+
+
+if TYPE_CHECKING:
+    from .daemon import Agent
+
+
+def announce_leaving(agent: Agent) -> None:
+    """Asks every agent that may send tasks to send no more."""
+    addresses = {peer.status.address for peer in agent.peers.list_all()}
+    addresses.update(records.address for records in agent.execution.homes.values())
+    for address in addresses - {agent.address}:
+        agent.node.send(address, AgentLeaving(ended=False, unsettled=[]))
+
+
+def announce_end(agent: Agent) -> None:
+    """Tells homes what never started here, and entries that all jobs have ended.
+
+    A home whose records were dropped gets no word, as nobody knows what started.
+    """
+    for incarnation, records in agent.execution.homes.items():
+        if records.forgotten or records.address == agent.address:
+            continue
+        unsettled = agent.execution.list_unsettled(incarnation)
+        agent.node.send(records.address, AgentLeaving(True, unsettled))
+    for entry in agent.entries.entries.values():
+        agent.node.send(entry.address, AgentLeaving(True, []))
--- a/src/jackdawkeel/agent/routing.py
+++ b/src/jackdawkeel/agent/routing.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from ..events import EventName
+from ..messages import AgentLeaving
 from ..messages import CancelJob
 from ..messages import CancelTasks
 from ..messages import DispatchTasks
@@ -28,12 +29,16 @@
     match message:
         case DispatchTasks():
             agent.execution.handle_dispatch(sender, message)
+            if agent.configuration.leaving and sender != agent.address:
+                agent.node.send(sender, AgentLeaving(ended=False, unsettled=[]))
         case TaskReports():
             agent.dispatch.handle_reports(sender, message)
         case TaskQuery():
             agent.execution.handle_query(sender, message)
         case CancelTasks():
             agent.execution.handle_cancel(sender, message)
+        case AgentLeaving():
+            agent.dispatch.handle_leaving(sender, message)
         case SettleTasks():
             agent.execution.handle_settled(sender, message.oldest_open)
         case _:
--- a/src/jackdawkeel/controllers/dispatch.py
+++ b/src/jackdawkeel/controllers/dispatch.py
@@ -30,6 +30,7 @@
 
     from ..clock import Clock
     from ..logs import EventLog
+    from ..messages import AgentLeaving
     from ..messages import Message
     from ..messages import PeerAddress
     from ..messages import SubmitJob
@@ -139,12 +140,29 @@
                 self._handle_report(dispatch, report)
         self.dispatch_ready()
 
+    def handle_leaving(self, sender: PeerAddress, message: AgentLeaving) -> None:
+        """Sends a leaving agent no more; takes back what never started there."""
+        peer = self.peers.find(sender.incarnation)
+        if peer is None:
+            return
+        peer.leaving = True
+        if not message.ended:
+            return
+        for dispatch in list(peer.outstanding.values()):
+            if dispatch.number not in message.unsettled:
+                self._close(dispatch)
+                self._requeue(dispatch)
+        self._give_up(peer)
+
     def handle_gone(self, incarnation: str) -> None:
         """Takes it that an agent's process has ended: its tasks are unknown."""
         peer = self.peers.find(incarnation)
         if peer is None:
             return
         self.peers.remove(peer)
+        self._give_up(peer)
+
+    def _give_up(self, peer: Peer) -> None:
         for dispatch in list(peer.outstanding.values()):
             self._close(dispatch)
             self._retry_or_fail(
--- a/src/jackdawkeel/controllers/execution.py
+++ b/src/jackdawkeel/controllers/execution.py
@@ -178,11 +178,16 @@
 
     def has_unsettled(self) -> bool:
         """Returns whether some home has not settled a result that it was sent."""
-        return any(
-            self._has_ended(record) and record.state is not TaskState.NOT_STARTED
-            for records in self.homes.values()
-            for record in records.records.values()
-        )
+        return any(self.list_unsettled(home) for home in self.homes)
+
+    def list_unsettled(self, home: str) -> list[int]:
+        """Returns the dispatches of a home that started and are not settled."""
+        records = self.homes[home].records
+        return [
+            number
+            for number, record in records.items()
+            if record.state not in (None, TaskState.NOT_STARTED)
+        ]
 
     def tick(self) -> None:
         """Hands back what may not start, and forgets homes that are long silent."""
--- a/src/jackdawkeel/controllers/peers.py
+++ b/src/jackdawkeel/controllers/peers.py
@@ -42,6 +42,7 @@
         queried_at: When the last query was sent.
         backoff_until: Until when it gets nothing, as it refused a task.
         unsettled: Whether dispatches have ended since ``sent_at``.
+        leaving: Whether it has said that it takes no new tasks.
     """
 
     status: PeerStatus
@@ -55,6 +56,7 @@
     queried_at: float = 0.0
     backoff_until: float = 0.0
     unsettled: bool = False
+    leaving: bool = False
 
     @property
     def incarnation(self) -> str:
@@ -145,6 +147,7 @@
         """Returns whether any peer in service runs the service, full or not."""
         return any(
             service in peer.status.services
+            and not peer.leaving
             and self.is_zone_in_service(peer.status.availability_zone)
             for peer in self.peers.values()
         )
@@ -213,6 +216,6 @@
     def _may_get_work(self, peer: Peer, service: str, now: float) -> bool:
         if service not in peer.status.services or now < peer.backoff_until:
             return False
-        if peer.asked_at is not None:
+        if peer.asked_at is not None or peer.leaving:
             return False
         return peer is self.own or now - peer.listed_at <= UNLISTED_S
--- a/src/jackdawkeel/entry/routing.py
+++ b/src/jackdawkeel/entry/routing.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from ..events import EventName
+from ..messages import AgentLeaving
 from ..messages import AgentsQuery
 from ..messages import AgentsReply
 from ..messages import EntryProbe
@@ -34,6 +35,8 @@
             entry.forwarder.handle_news(message)
         case WrongRecipient():
             entry.handle_gone(message.wanted)
+        case AgentLeaving():
+            entry.handle_gone(sender.incarnation)
         case _:
             _route_between_entries(entry, sender, message)
 
--- a/src/jackdawkeel/messages.py
+++ b/src/jackdawkeel/messages.py
@@ -346,6 +346,19 @@
     link: str | None
 
 
+class AgentLeaving(msgspec.Struct, frozen=True, array_like=True, tag=20):
+    """From a leaving agent to homes and entries.
+
+    Attributes:
+        ended: Whether all work there has ended; it answers nothing more.
+        unsettled: The recipient's dispatches that started and whose results it has
+            not settled; once ``ended``, all others have not started and never will.
+    """
+
+    ended: bool
+    unsettled: list[int]
+
+
 Message = (
     Heartbeat
     | HeartbeatReply
@@ -366,6 +379,7 @@
     | AgentsReply
     | FindHome
     | HomeFound
+    | AgentLeaving
 )
 
 
