--- /dev/null
+++ b/src/jackdawkeel/controllers/peers.py
@@ -0,0 +1,218 @@
+"""The agents that may run tasks of this home, and the load it expects of them."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from ..policy.candidates import Candidate
+from ..policy.ejection import PROBE_INTERVAL_S
+from ..policy.placement import choose_executor
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..clock import Clock
+    from ..messages import PeerLoad
+    from ..messages import PeerStatus
+    from ..messages import TaskReports
+    from .job import Dispatch
+
+
+QUEUE_ALLOWANCE = 2
+UNLISTED_S = 10.0
+
+
+@dataclass(slots=True, eq=False)
+class Peer:
+    """An agent as this home sees it.
+
+    Attributes:
+        status: The agent as an entry last described it.
+        outstanding: This home's open dispatches there, in order of number.
+        reported: Tasks there that are not this home's, as last reported.
+        waiting: Tasks that wait at home there, as last reported.
+        listed_at: When an entry last listed it, in seconds of the clock.
+        heard_at: When it last sent anything here.
+        sent_at: When a message with settled numbers was last sent to it.
+        asked_at: Since when a query has had no answer, or None.
+        queried_at: When the last query was sent.
+        backoff_until: Until when it gets nothing, as it refused a task.
+        unsettled: Whether dispatches have ended since ``sent_at``.
+    """
+
+    status: PeerStatus
+    outstanding: dict[int, Dispatch] = field(default_factory=dict)
+    reported: int = 0
+    waiting: int = 0
+    listed_at: float = 0.0
+    heard_at: float = 0.0
+    sent_at: float = 0.0
+    asked_at: float | None = None
+    queried_at: float = 0.0
+    backoff_until: float = 0.0
+    unsettled: bool = False
+
+    @property
+    def incarnation(self) -> str:
+        """The agent's incarnation."""
+        return self.status.address.incarnation
+
+    def note_sent(self, now: float) -> None:
+        """Notes that a message with the oldest open number goes to the peer."""
+        self.sent_at = now
+        self.unsettled = False
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceCapacity:
+    """The capacity of a service over all peers in service.
+
+    Attributes:
+        slots: Tasks that their targets run at once.
+        held: Tasks that run or wait at them.
+        waiting_elsewhere: Tasks that wait at other homes, as last reported.
+    """
+
+    slots: int
+    held: int
+    waiting_elsewhere: int
+
+
+class PeerController:
+    """Keeps the peers and chooses among them."""
+
+    def __init__(
+        self,
+        own: PeerStatus,
+        clock: Clock,
+        is_zone_in_service: Callable[[str], bool],
+    ) -> None:
+        self.clock = clock
+        self.is_zone_in_service = is_zone_in_service
+        self.own = Peer(own)
+        self.own_ejected = False
+        self.own_leaving = False
+        self.own_probe_at = 0.0
+        self.rng = random.Random(own.address.incarnation)
+        self.peers: dict[str, Peer] = {self.own.incarnation: self.own}
+
+    def find(self, incarnation: str) -> Peer | None:
+        """Returns a peer by its incarnation."""
+        return self.peers.get(incarnation)
+
+    def list_all(self) -> list[Peer]:
+        """Returns all peers, this agent included."""
+        return list(self.peers.values())
+
+    def remove(self, peer: Peer) -> None:
+        """Forgets a peer whose process has ended."""
+        if peer is not self.own:
+            self.peers.pop(peer.incarnation, None)
+
+    def apply_list(self, statuses: list[PeerStatus], loads: list[PeerLoad]) -> None:
+        """Takes the peers that an entry lists; drops those long unlisted."""
+        now = self.clock()
+        for status, load in zip(statuses, loads, strict=False):
+            if status.address == self.own.status.address:
+                continue
+            peer = self.peers.setdefault(status.address.incarnation, Peer(status))
+            peer.status = status
+            peer.listed_at = now
+            peer.waiting = load.waiting
+            peer.reported = max(0, load.held - len(peer.outstanding))
+        for peer in self.list_all():
+            unlisted = now - peer.listed_at > UNLISTED_S
+            if unlisted and not peer.outstanding and not peer.unsettled:
+                self.remove(peer)
+
+    def record_reports(self, peer: Peer, message: TaskReports) -> None:
+        """Takes the load that reports carry."""
+        peer.heard_at = self.clock()
+        peer.asked_at = None
+        ended = sum(report.state != "running" for report in message.reports)
+        own = max(0, len(peer.outstanding) - ended)
+        peer.reported = max(0, message.running + message.queued - own)
+
+    def back_off(self, peer: Peer, seconds: float) -> None:
+        """Sends a peer nothing for a while."""
+        peer.backoff_until = self.clock() + seconds
+
+    def has_any(self, service: str) -> bool:
+        """Returns whether any peer in service runs the service, full or not."""
+        return any(
+            service in peer.status.services
+            and self.is_zone_in_service(peer.status.availability_zone)
+            for peer in self.peers.values()
+        )
+
+    def measure_capacity(self, service: str) -> ServiceCapacity:
+        """Returns the slots of a service and what holds them, in service only."""
+        slots = held = waiting_elsewhere = 0
+        for peer in self.peers.values():
+            status = peer.status
+            if service not in status.services:
+                continue
+            if not self.is_zone_in_service(status.availability_zone):
+                continue
+            slots += status.slots
+            held += len(peer.outstanding) + peer.reported
+            if peer is not self.own:
+                waiting_elsewhere += peer.waiting
+        return ServiceCapacity(slots, held, waiting_elsewhere)
+
+    def choose(self, service: str, avoided: str | None = None) -> Peer | None:
+        """Chooses the peer for the next task of a service.
+
+        Args:
+            service: Name of the service.
+            avoided: Incarnation that is chosen only if there is no other, or None.
+
+        Returns:
+            The peer, or None if all are full.
+        """
+        now = self.clock()
+        candidates = [
+            self._describe(peer, now)
+            for peer in self.peers.values()
+            if self._may_get_work(peer, service, now)
+        ]
+        if avoided is not None:
+            others = [one for one in candidates if one.incarnation != avoided]
+            candidates = others or candidates
+        own = self.own.status
+        chosen = choose_executor(
+            candidates,
+            own.address.incarnation,
+            own.availability_zone,
+            QUEUE_ALLOWANCE,
+            self.rng,
+        )
+        if chosen is None:
+            return None
+        if self.own_ejected and chosen == own.address.incarnation:
+            self.own_probe_at = now + PROBE_INTERVAL_S
+        return self.peers[chosen]
+
+    def _describe(self, peer: Peer, now: float) -> Candidate:
+        status = peer.status
+        return Candidate(
+            incarnation=status.address.incarnation,
+            availability_zone=status.availability_zone,
+            slots=status.slots,
+            outstanding=len(peer.outstanding),
+            reported=peer.reported,
+            ejected=peer is self.own and self.own_ejected and now < self.own_probe_at,
+            leaving=peer is self.own and self.own_leaving,
+            in_service=self.is_zone_in_service(status.availability_zone),
+        )
+
+    def _may_get_work(self, peer: Peer, service: str, now: float) -> bool:
+        if service not in peer.status.services or now < peer.backoff_until:
+            return False
+        if peer.asked_at is not None:
+            return False
+        return peer is self.own or now - peer.listed_at <= UNLISTED_S
--- /dev/null
+++ b/src/jackdawkeel/controllers/roster.py
@@ -0,0 +1,243 @@
+"""The agents that an entry hears, and the choice of homes and peer lists."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from ..messages import AgentSighting
+from ..messages import PeerLoad
+from ..messages import PeerStatus
+from ..policy.candidates import Candidate
+from ..policy.ejection import EjectionState
+from ..policy.ejection import admit_probe
+from ..policy.ejection import forget_agent
+from ..policy.ejection import record_counters
+from ..policy.ejection import update_ejected
+from ..policy.placement import choose_home
+from .agent_index import AgentIndex
+from .peer_lists import PeerSource
+from .peer_lists import refresh_peers
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from ..clock import Clock
+    from ..messages import Heartbeat
+    from ..messages import PeerAddress
+
+
+LIVE_S = 3.0
+DROP_S = 120.0
+HOME_DRAWS = 2
+MAX_GONE = 10_000
+
+
+@dataclass(slots=True, eq=False)
+class AgentView:
+    """An agent as this entry last heard it.
+
+    Attributes:
+        heartbeat: The last heartbeat.
+        heard_at: When it came, in seconds of the clock.
+        forwarded: Jobs that this entry has there without an answer.
+        peers: Incarnations of the peers that the agent is told.
+        peer_list: Number of that list; it grows with each change.
+    """
+
+    heartbeat: Heartbeat
+    heard_at: float
+    forwarded: int = 0
+    peers: list[str] = field(default_factory=list)
+    peer_list: int = 1
+
+    @property
+    def address(self) -> PeerAddress:
+        """The agent's process."""
+        return self.heartbeat.agent.address
+
+
+class RosterController:
+    """Keeps what agents announce and chooses among them."""
+
+    def __init__(
+        self,
+        availability_zone: str,
+        clock: Clock,
+        is_zone_in_service: Callable[[str], bool],
+    ) -> None:
+        self.availability_zone = availability_zone
+        self.clock = clock
+        self.is_zone_in_service = is_zone_in_service
+        self.agents: dict[str, AgentView] = {}
+        self.index = AgentIndex()
+        self.gone: dict[str, None] = {}
+        self.ejection = EjectionState()
+        self.ejected: set[str] = set()
+        self.rng = random.Random(availability_zone)
+        self.peer_source = PeerSource(
+            self.index, self._may_be_peer, self._find_zone, self.rng
+        )
+
+    def handle_heartbeat(self, heartbeat: Heartbeat) -> bool:
+        """Records a heartbeat; returns whether the agent is new."""
+        address = heartbeat.agent.address
+        load = heartbeat.load
+        record_counters(self.ejection, address.incarnation, load.completed, load.failed)
+        view = self.agents.get(address.incarnation)
+        if view is not None:
+            view.heartbeat = heartbeat
+            view.heard_at = self.clock()
+            return False
+        self.gone.pop(address.incarnation, None)
+        self._replace_predecessor(address)
+        self.agents[address.incarnation] = AgentView(heartbeat, self.clock())
+        self.index.add(heartbeat.agent)
+        return True
+
+    def mark_gone(self, incarnation: str) -> None:
+        """Notes for good that the process of an incarnation has ended."""
+        view = self.agents.pop(incarnation, None)
+        if view is not None:
+            self.index.remove(view.heartbeat.agent)
+        forget_agent(self.ejection, incarnation)
+        self.gone[incarnation] = None
+        if len(self.gone) > MAX_GONE:
+            del self.gone[next(iter(self.gone))]
+
+    def is_gone(self, incarnation: str) -> bool:
+        """Returns whether the process of an incarnation is known to have ended."""
+        return incarnation in self.gone
+
+    def find(self, incarnation: str) -> AgentView | None:
+        """Returns an agent by its incarnation, live or silent."""
+        return self.agents.get(incarnation)
+
+    def is_live(self, view: AgentView) -> bool:
+        """Returns whether the agent was heard lately."""
+        return self.clock() - view.heard_at <= LIVE_S
+
+    def may_start(self, view: AgentView) -> bool:
+        """Returns whether tasks may start at the agent."""
+        if view.heartbeat.leaving or not self.is_live(view):
+            return False
+        return self.is_zone_in_service(view.heartbeat.agent.availability_zone)
+
+    def has_target(self, service: str) -> bool:
+        """Returns whether some target in service runs the service."""
+        return any(
+            service in view.heartbeat.agent.services and self.may_start(view)
+            for view in self.agents.values()
+        )
+
+    def find_probe(self, service: str, *, is_idempotent: bool) -> AgentView | None:
+        """Returns an ejected agent that should get a job now, to try its target."""
+        now = self.clock()
+        for incarnation in self.ejected:
+            view = self.agents.get(incarnation)
+            if view is None or not self.may_start(view):
+                continue
+            if service not in view.heartbeat.agent.services:
+                continue
+            if admit_probe(
+                self.ejection, incarnation, now, is_idempotent=is_idempotent
+            ):
+                return view
+        return None
+
+    def choose_home(self, service: str) -> AgentView | None:
+        """Returns the home for a new id of a service, or None if there is none."""
+        drawn = [
+            name
+            for zone in self.index.list_zones(service)
+            for name in self.index.draw(service, zone, HOME_DRAWS, self.rng)
+        ]
+        views = [self.agents[name] for name in drawn]
+        candidates = [self._describe(view) for view in views if self.is_live(view)]
+        chosen = choose_home(candidates, self.availability_zone, self.rng)
+        return None if chosen is None else self.agents[chosen]
+
+    def refresh_peers(self, view: AgentView) -> None:
+        """Brings the list of peers that an agent is told up to date."""
+        peers = refresh_peers(view.peers, view.heartbeat.agent, self.peer_source)
+        if peers != view.peers:
+            view.peers = peers
+            view.peer_list += 1
+
+    def describe_peers(self, view: AgentView) -> list[PeerStatus]:
+        """Describes the peers that an agent is told."""
+        return [_make_peer_status(self.agents[name]) for name in view.peers]
+
+    def list_peer_loads(self, view: AgentView) -> list[PeerLoad]:
+        """Returns the load of each peer that an agent is told."""
+        loads = [self.agents[name].heartbeat.load for name in view.peers]
+        return [PeerLoad(load.running + load.queued, load.waiting) for load in loads]
+
+    def _may_be_peer(self, incarnation: str) -> bool:
+        view = self.agents.get(incarnation)
+        if view is None or incarnation in self.ejected:
+            return False
+        return self.may_start(view)
+
+    def _find_zone(self, incarnation: str) -> str:
+        return self.agents[incarnation].heartbeat.agent.availability_zone
+
+    def tick(self) -> None:
+        """Updates ejections and drops agents that are long silent."""
+        now = self.clock()
+        services: dict[str, list[str]] = {}
+        for incarnation, view in list(self.agents.items()):
+            if now - view.heard_at > DROP_S:
+                self.mark_gone(incarnation)
+                continue
+            for service in view.heartbeat.agent.services:
+                if self.is_live(view):
+                    services.setdefault(service, []).append(incarnation)
+        self.ejected = update_ejected(self.ejection, services, now)
+
+    def list_sightings(self) -> list[AgentSighting]:
+        """Returns all agents as last heard."""
+        now = self.clock()
+        return [
+            AgentSighting(
+                agent=view.heartbeat.agent,
+                load=view.heartbeat.load,
+                revision=view.heartbeat.revision,
+                leaving=view.heartbeat.leaving,
+                heard_age_ms=int((now - view.heard_at) * 1000),
+            )
+            for view in self.agents.values()
+        ]
+
+    def _replace_predecessor(self, address: PeerAddress) -> None:
+        for incarnation, view in list(self.agents.items()):
+            if view.address.link == address.link:
+                self.mark_gone(incarnation)
+
+    def _describe(self, view: AgentView) -> Candidate:
+        agent = view.heartbeat.agent
+        load = view.heartbeat.load
+        incarnation = agent.address.incarnation
+        return Candidate(
+            incarnation=incarnation,
+            availability_zone=agent.availability_zone,
+            slots=agent.slots,
+            outstanding=view.forwarded,
+            reported=max(0, load.running + load.queued + load.waiting - view.forwarded),
+            ejected=incarnation in self.ejected,
+            leaving=view.heartbeat.leaving,
+            in_service=self.is_zone_in_service(agent.availability_zone),
+        )
+
+
+def _make_peer_status(view: AgentView) -> PeerStatus:
+    agent = view.heartbeat.agent
+    return PeerStatus(
+        address=agent.address,
+        services=agent.services,
+        availability_zone=agent.availability_zone,
+        slots=agent.slots,
+    )
