--- /dev/null
+++ b/bench/controller_slopes.py
@@ -0,0 +1,238 @@
+"""Processor time, memory and message sizes of controllers, driven in one process."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from dataclasses import field
+from functools import partial
+from typing import TYPE_CHECKING
+from typing import cast
+
+import msgspec
+from tests.fakes import FakeClock
+from tests.fakes import make_address
+from tests.fakes import make_log
+
+from bench.fits import Fit
+from bench.fits import fit_line
+from bench.fits import measure_bytes
+from bench.fits import time_us
+from jackdawkeel.answer import answer_done
+from jackdawkeel.controllers.admission import AdmissionController
+from jackdawkeel.controllers.configuration import ConfigurationController
+from jackdawkeel.controllers.roster import RosterController
+from jackdawkeel.entry.heartbeats import answer_heartbeat
+from jackdawkeel.job_id import mint_incarnation
+from jackdawkeel.job_id import mint_job_id
+from jackdawkeel.messages import PROTOCOL_VERSION
+from jackdawkeel.messages import AgentDescription
+from jackdawkeel.messages import AgentLoad
+from jackdawkeel.messages import Envelope
+from jackdawkeel.messages import Heartbeat
+from jackdawkeel.messages import PeerAddress
+from jackdawkeel.messages import SubmitJob
+from jackdawkeel.ticket import AvailabilityZoneModel
+from jackdawkeel.ticket import AvailabilityZoneRecord
+from jackdawkeel.ticket import ConfigurationDocument
+from jackdawkeel.ticket import ServiceModel
+from jackdawkeel.ticket import ServiceRecord
+from jackdawkeel.ticket import TeamModel
+from jackdawkeel.ticket import TeamRecord
+
+
+if TYPE_CHECKING:
+    from jackdawkeel.entry.daemon import Entry
+    from jackdawkeel.logs import EventLog
+    from jackdawkeel.messages import Message
+
+
+AGENTS = (10, 100, 1000, 4000, 11_000)
+TASKS = (1, 10, 60, 240)
+IDS = (1000, 5000, 20_000, 50_000)
+OBJECTS = (50, 200, 800, 3200)
+AGENTS_PER_SERVICE = 100
+HOSTS_PER_NET = 250
+ZONES = 8
+PAYLOAD = b'{"municipality": 615, "night": "2026-07-14", "kind": "nightly-count"}'
+DIGEST = "0" * 64
+
+
+@dataclass(slots=True)
+class OtherEntries:
+    """The other entries of a modelled entry."""
+
+    addresses: list[PeerAddress] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class EntryParts:
+    """The parts of an entry that answer a heartbeat."""
+
+    roster: RosterController
+    configuration: ConfigurationController
+    address: PeerAddress
+    clock: FakeClock
+    log: EventLog = field(default_factory=make_log)
+    others: OtherEntries = field(default_factory=OtherEntries)
+
+
+def make_heartbeat(number: int) -> Heartbeat:
+    """Returns the heartbeat of an agent; 100 agents share a service."""
+    host = f"10.0.{number // HOSTS_PER_NET}.{number % HOSTS_PER_NET}"
+    address = PeerAddress(mint_incarnation(), f"tcp://{host}:7000")
+    description = AgentDescription(
+        address,
+        f"http://{host}:8080",
+        [f"service-{number // AGENTS_PER_SERVICE}"],
+        f"zone-{number % ZONES}",
+        f"rack-{number // 3}",
+        8,
+        64,
+    )
+    load = AgentLoad(7, 1, 20, 123_456, 123, 400.0, 987_654)
+    return Heartbeat(12_345.678, description, 3, load, 0, False, 1)
+
+
+def make_entry(agents: int) -> EntryParts:
+    """Returns an entry that has heard the given number of agents."""
+    clock = FakeClock()
+    roster = RosterController("zone-0", clock, lambda _zone: True)
+    entry = EntryParts(
+        roster, ConfigurationController(clock()), make_address("e" * 16), clock
+    )
+    entry.others.addresses = [make_address(f"{n:016x}") for n in range(3)]
+    for number in range(agents):
+        roster.handle_heartbeat(make_heartbeat(number))
+    for view in roster.agents.values():
+        roster.refresh_peers(view)
+    return entry
+
+
+def encode(message: Message) -> bytes:
+    """Encodes one message in its envelope."""
+    sender = make_address("a" * 16)
+    envelope = Envelope(PROTOCOL_VERSION, sender, "b" * 16, 1, False, [message])
+    return msgspec.msgpack.encode(envelope)
+
+
+def measure_heartbeats() -> list[Fit]:
+    """Measures what one heartbeat costs an entry, over the agents it hears."""
+    costs: list[tuple[float, float]] = []
+    sizes: list[tuple[float, float]] = []
+    replies: list[tuple[float, float]] = []
+    memory: list[tuple[float, float]] = []
+    homes: list[tuple[float, float]] = []
+    ticks: list[tuple[float, float]] = []
+    decoder = msgspec.msgpack.Decoder(Envelope)
+    for agents in AGENTS:
+        entry = make_entry(agents)
+        view = next(iter(entry.roster.agents.values()))
+        heartbeat = view.heartbeat
+        raw = encode(heartbeat)
+
+        def answer(entry: EntryParts = entry, raw: bytes = raw) -> bytes:
+            heard = cast("Heartbeat", decoder.decode(raw).messages[0])
+            return encode(answer_heartbeat(cast("Entry", entry), heard))
+
+        def choose(entry: EntryParts = entry) -> object:
+            return entry.roster.choose_home("service-0")
+
+        costs.append((agents, time_us(answer, 200)))
+        sizes.append((agents, len(raw)))
+        replies.append((agents, len(answer())))
+        homes.append((agents, time_us(choose, 20)))
+        ticks.append((agents, time_us(entry.roster.tick, 2)))
+        memory.append((agents, measure_bytes(partial(make_entry, agents)) / 1e6))
+    over = "agents heard by an entry"
+    return [
+        fit_line("heartbeat answered, us", over, costs),
+        fit_line("heartbeat, bytes", over, sizes),
+        fit_line("reply, bytes", over, replies),
+        fit_line("choice of a home, us", over, homes),
+        fit_line("roster tick, us", over, ticks),
+        fit_line("roster, MB", over, memory),
+    ]
+
+
+def pass_on(job: SubmitJob) -> Envelope:
+    """Encodes and decodes a job."""
+    return msgspec.msgpack.decode(encode(job), type=Envelope)
+
+
+def measure_jobs() -> list[Fit]:
+    """Measures the message that submits a job, over its tasks."""
+    sizes: list[tuple[float, float]] = []
+    costs: list[tuple[float, float]] = []
+    for tasks in TASKS:
+        job_id = str(mint_job_id(mint_incarnation(), 1))
+        job = SubmitJob(job_id, DIGEST, "service", [PAYLOAD] * tasks, False, 60_000)
+        sizes.append((tasks, len(encode(job))))
+        costs.append((tasks, time_us(partial(pass_on, job), 200)))
+    return [
+        fit_line("job submitted, bytes", "tasks", sizes),
+        fit_line("job encoded and decoded, us", "tasks", costs),
+    ]
+
+
+def keep_ids(count: int) -> AdmissionController:
+    """Returns a home's record of ids whose answers are dropped or small."""
+    admission = AdmissionController("a" * 16, FakeClock())
+    for _ in range(count):
+        job_id = mint_job_id("a" * 16, 1)
+        admission.admit(job_id, mint_digest())
+        admission.keep_answer(job_id, answer_done(str(job_id), [b"{}"]))
+    return admission
+
+
+def mint_digest() -> str:
+    """Returns a digest of its own, as a request decodes it."""
+    return mint_incarnation() * 4
+
+
+def measure_ids() -> list[Fit]:
+    """Measures the memory of the ids that a home keeps."""
+    points = [
+        (float(count), measure_bytes(partial(keep_ids, count)) / 1e6) for count in IDS
+    ]
+    return [fit_line("ids kept, MB", "ids", points)]
+
+
+def make_document(objects: int) -> bytes:
+    """Returns a configuration with equal parts of services and teams, and 8 zones."""
+    half = objects // 2
+    return msgspec.json.encode(
+        ConfigurationDocument(
+            {f"service-{n}": ServiceRecord(n, ServiceModel()) for n in range(half)},
+            {
+                f"zone-{n}": AvailabilityZoneRecord(n, AvailabilityZoneModel())
+                for n in range(ZONES)
+            },
+            {f"team-{n}": TeamRecord(n, TeamModel(100.0)) for n in range(half)},
+        )
+    )
+
+
+def measure_configuration() -> list[Fit]:
+    """Measures a change of configuration at an entry, over the objects it holds."""
+    sizes: list[tuple[float, float]] = []
+    costs: list[tuple[float, float]] = []
+    for objects in OBJECTS:
+        encoded = make_document(objects)
+        controller = ConfigurationController(0.0)
+        revisions = Counter({"next": 0})
+
+        def apply(
+            controller: ConfigurationController = controller,
+            encoded: bytes = encoded,
+            revisions: Counter[str] = revisions,
+        ) -> None:
+            revisions["next"] += 1
+            controller.apply(revisions["next"], encoded).unwrap()
+
+        sizes.append((objects, len(encoded)))
+        costs.append((objects, time_us(apply, 50)))
+    return [
+        fit_line("configuration, bytes", "objects", sizes),
+        fit_line("configuration applied, us", "objects", costs),
+    ]
--- /dev/null
+++ b/bench/link_slopes.py
@@ -0,0 +1,160 @@
+"""Processor time of links and of the tasks of a job, driven in one process."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from functools import partial
+from typing import TYPE_CHECKING
+
+from tests.fakes import FakeClock
+from tests.fakes import Outbox
+from tests.fakes import make_address
+from tests.fakes import make_log
+from tests.standins.processes import pick_address
+
+from bench.fits import US_PER_S
+from bench.fits import Fit
+from bench.fits import fit_line
+from bench.fits import time_us
+from jackdawkeel.controllers.dispatch import DispatchController
+from jackdawkeel.controllers.peers import PeerController
+from jackdawkeel.job_id import mint_incarnation
+from jackdawkeel.link.node import LinkNode
+from jackdawkeel.messages import CancelTasks
+from jackdawkeel.messages import DispatchTasks
+from jackdawkeel.messages import PeerAddress
+from jackdawkeel.messages import PeerLoad
+from jackdawkeel.messages import PeerStatus
+from jackdawkeel.messages import SubmitJob
+from jackdawkeel.messages import TaskReport
+from jackdawkeel.messages import TaskReports
+
+
+if TYPE_CHECKING:
+    from jackdawkeel.messages import Message
+
+
+TASKS = (1, 10, 60, 240)
+PEERS = (8, 16, 32, 44)
+BATCHES = (1, 10, 60, 240)
+ENVELOPES = 400
+SLOTS = 8
+RESULT = b'{"count": 1234}'
+PAYLOAD = b'{"municipality": 615, "night": "2026-07-14", "kind": "nightly-count"}'
+
+
+class JobBench:
+    """A home with peers that end every task at once."""
+
+    def __init__(self, peers: int) -> None:
+        self.outbox = Outbox()
+        self.clock = FakeClock()
+        own = PeerStatus(make_address("a" * 16), ["service"], "zone-0", SLOTS)
+        self.peers = PeerController(own, self.clock, lambda _zone: True, lambda: 0)
+        listed = [
+            PeerStatus(make_address(f"{n:016x}"), ["service"], f"zone-{n % 3}", SLOTS)
+            for n in range(peers)
+        ]
+        self.peers.apply_list(listed, [PeerLoad(0, 0)] * peers)
+        self.dispatch = DispatchController(
+            clock=self.clock,
+            log=make_log(),
+            peers=self.peers,
+            send=self.outbox.send,
+            redial=self.outbox.redial,
+            finish=lambda _job_id, _answer: None,
+        )
+
+    def run_job(self, tasks: int) -> None:
+        """Runs one job to its end."""
+        payloads = [PAYLOAD] * tasks
+        job_id = mint_incarnation()
+        self.dispatch.start_job(
+            SubmitJob(job_id, "", "service", payloads, False, 60_000)
+        )
+        while self.outbox.sent:
+            sent, self.outbox.sent = self.outbox.sent, []
+            for one in sent:
+                if isinstance(one.message, DispatchTasks):
+                    self.report(one.recipient, one.message)
+
+    def report(self, peer: PeerAddress, message: DispatchTasks) -> None:
+        """Reports the tasks of one dispatch as done."""
+        reports = [
+            TaskReport(task.number, "done", RESULT, "", 100.0) for task in message.tasks
+        ]
+        self.dispatch.handle_reports(peer, TaskReports(reports, 0, 0))
+
+
+def measure_dispatch() -> list[Fit]:
+    """Measures the choice, sending and collecting of tasks at a home."""
+    by_tasks: list[tuple[float, float]] = []
+    for tasks in TASKS:
+        bench = JobBench(32)
+        cost = time_us(partial(bench.run_job, tasks), max(2, 400 // tasks))
+        by_tasks.append((tasks, cost))
+    by_peers: list[tuple[float, float]] = []
+    for peers in PEERS:
+        bench = JobBench(peers)
+        cost = time_us(partial(bench.run_job, 60), 8) / 60
+        by_peers.append((peers, cost))
+    return [
+        fit_line("job at its home with 32 peers, us", "tasks", by_tasks),
+        fit_line("task at its home, us", "peers", by_peers),
+    ]
+
+
+class LinkPair:
+    """Two nodes on one loop; the second counts what it gets."""
+
+    def __init__(self) -> None:
+        self.received = 0
+        self.wanted = 0
+        self.done = asyncio.Event()
+        self.addresses = [
+            PeerAddress(mint_incarnation(), f"tcp://{pick_address('127.0.0.1')}")
+            for _ in range(2)
+        ]
+        self.nodes = [
+            LinkNode(
+                listen=address.link,
+                address=address,
+                clock=time.monotonic,
+                log=make_log(),
+                deliver=self.deliver,
+            )
+            for address in self.addresses
+        ]
+
+    def deliver(self, _sender: PeerAddress, _message: Message) -> None:
+        """Counts a message."""
+        self.received += 1
+        if self.received >= self.wanted:
+            self.done.set()
+
+    async def pass_messages(self, batch: int, envelopes: int) -> float:
+        """Returns the processor time of an envelope at both ends, in microseconds."""
+        sender, receiver = self.nodes
+        message = CancelTasks(1, list(range(8)))
+        with sender, receiver:
+            began = time.process_time()
+            for _ in range(envelopes):
+                self.wanted = self.received + batch
+                self.done.clear()
+                for _ in range(batch):
+                    sender.send(receiver.address, message)
+                await self.done.wait()
+            return (time.process_time() - began) / envelopes * US_PER_S
+
+
+def measure_link() -> list[Fit]:
+    """Measures an envelope at both its ends, over the messages in it."""
+    points: list[tuple[float, float]] = []
+    for batch in BATCHES:
+
+        async def pass_batches(batch: int = batch) -> float:
+            return await LinkPair().pass_messages(batch, ENVELOPES)
+
+        points.append((batch, asyncio.run(pass_batches())))
+    return [fit_line("envelope at both ends, us", "messages in it", points)]
