--- a/bench/controller_slopes.py
+++ b/bench/controller_slopes.py
@@ -97,7 +97,7 @@
 def make_entry(agents: int) -> EntryParts:
     """Returns an entry that has heard the given number of agents."""
     clock = FakeClock()
-    roster = RosterController("zone-0", clock, lambda _zone: True)
+    roster = RosterController("zone-0", clock, make_log(), lambda _zone: True)
     entry = EntryParts(
         roster, ConfigurationController(clock()), make_address("e" * 16), clock
     )
