--- a/src/jackdawkeel/controllers/dispatch.py
+++ b/src/jackdawkeel/controllers/dispatch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections import deque
 from typing import TYPE_CHECKING
 
@@ -15,7 +16,10 @@
 from ..messages import DispatchTasks
 from ..messages import TaskDispatch
 from ..policy.admission_estimate import ServiceLoad
+from ..policy.hedging import hedge_delay_ms
 from ..policy.hedging import take_hedge
+from ..policy.reserve import reserved_slots
+from ..policy.reserve import update_busy_share
 from ..policy.retry_budget import note_first_attempt
 from ..policy.retry_budget import take_second_attempt
 from ..task_state import TaskState
@@ -40,6 +44,7 @@
 
 
 REFUSED_BACKOFF_S = 0.1
+BUSY_INTERVAL_S = 1.0
 MAX_CLOCK_GAP_S = 1.0
 MAX_ATTEMPTS = 3
 MS_PER_S = 1000
@@ -82,6 +87,7 @@
         self.dispatches: dict[int, Dispatch] = {}
         self.next_number = 1
         self.ticked_at = clock()
+        self.busy_updated_at = self.ticked_at
 
     def start_job(self, message: SubmitJob) -> None:
         """Takes an admitted job and dispatches what finds a place."""
@@ -155,7 +161,7 @@
     def dispatch_ready(self) -> None:
         """Sends waiting tasks, one job after the other, while there are places."""
         batches: dict[str, list[TaskDispatch]] = {}
-        blocked: set[str] = set()
+        blocked: set[tuple[str, int]] = set()
         idle_turns = 0
         while self.ready and idle_turns < len(self.ready):
             job = self.ready[0]
@@ -164,11 +170,12 @@
                 self.ready.pop()
                 continue
             peer = None
-            if job.service not in blocked:
+            reserved = self._reserve_slots(job)
+            if (job.service, reserved) not in blocked:
                 avoided = job.avoided.get(job.waiting[0])
-                peer = self.peers.choose(job.service, avoided)
+                peer = self.peers.choose(job.service, avoided, reserved=reserved)
             if peer is None:
-                blocked.add(job.service)
+                blocked.add((job.service, reserved))
                 idle_turns += 1
                 continue
             idle_turns = 0
@@ -179,6 +186,22 @@
         for incarnation, tasks in batches.items():
             self._send_batch(incarnation, tasks)
 
+    def _reserve_slots(self, job: Job) -> int:
+        busy_share = self.find_stats(job.service).busy_share
+        return reserved_slots(len(job.payloads), busy_share, self.peers.own_slots)
+
+    def _update_busy_shares(self, now: float) -> None:
+        elapsed_s = now - self.busy_updated_at
+        if elapsed_s < BUSY_INTERVAL_S:
+            return
+        self.busy_updated_at = now
+        for service, stats in self.services.items():
+            capacity = self.peers.measure_capacity(service)
+            running = min(capacity.held, capacity.slots)
+            stats.busy_share = update_busy_share(
+                stats.busy_share, running, capacity.slots, elapsed_s
+            )
+
     def tick(self) -> None:
         """Ends jobs whose deadline has passed and asks silent agents."""
         now = self.clock()
@@ -186,6 +209,7 @@
         self.ticked_at = now
         if gap > MAX_CLOCK_GAP_S:
             self._shift_timers(gap)
+        self._update_busy_shares(now)
         for job in list(self.jobs.values()):
             if now >= job.expires_at:
                 self._end_early(
@@ -214,17 +238,32 @@
 
     def _hedge(self, job: Job, now: float) -> None:
         stats = self.find_stats(job.service)
-        for dispatch in list(job.outstanding.values()):
-            copies = sum(
-                other.index == dispatch.index for other in job.outstanding.values()
-            )
-            elapsed_ms = (now - dispatch.sent_at) * MS_PER_S
-            peer = self.peers.choose(job.service, dispatch.peer.incarnation)
-            if peer is None or peer is dispatch.peer:
-                continue
-            if take_hedge(True, copies, elapsed_ms, stats.run_time, stats.hedges):
-                task = self._open(job, dispatch.index, peer)
-                self._send_batch(peer.incarnation, [task])
+        delay_ms = hedge_delay_ms(stats.run_time)
+        if delay_ms is None:
+            return
+        late = [
+            dispatch
+            for dispatch in job.outstanding.values()
+            if (now - dispatch.sent_at) * MS_PER_S >= delay_ms
+        ]
+        if not late:
+            return
+        copies = Counter(dispatch.index for dispatch in job.outstanding.values())
+        for dispatch in late:
+            if copies[dispatch.index] == 1:
+                self._hedge_late(dispatch, stats, now)
+
+    def _hedge_late(self, dispatch: Dispatch, stats: ServiceStats, now: float) -> None:
+        job = dispatch.job
+        peer = self.peers.choose(
+            job.service, dispatch.peer.incarnation, queue_allowance=0
+        )
+        if peer is None or peer is dispatch.peer:
+            return
+        elapsed_ms = (now - dispatch.sent_at) * MS_PER_S
+        if take_hedge(True, 1, elapsed_ms, stats.run_time, stats.hedges):
+            task = self._open(job, dispatch.index, peer)
+            self._send_batch(peer.incarnation, [task])
 
     def find_stats(self, service: str) -> ServiceStats:
         """Returns what was learned of a service."""
--- a/src/jackdawkeel/controllers/peers.py
+++ b/src/jackdawkeel/controllers/peers.py
@@ -22,7 +22,7 @@
     from .job import Dispatch
 
 
-QUEUE_ALLOWANCE = 2
+QUEUE_ALLOWANCE = 1
 UNLISTED_S = 10.0
 
 
@@ -175,12 +175,26 @@
                 waiting_elsewhere += peer.waiting
         return ServiceCapacity(slots, held, waiting_elsewhere)
 
-    def choose(self, service: str, avoided: str | None = None) -> Peer | None:
+    @property
+    def own_slots(self) -> int:
+        """Slots of the own target."""
+        return self.own.status.slots
+
+    def choose(
+        self,
+        service: str,
+        avoided: str | None = None,
+        *,
+        reserved: int = 0,
+        queue_allowance: int = QUEUE_ALLOWANCE,
+    ) -> Peer | None:
         """Chooses the peer for the next task of a service.
 
         Args:
             service: Name of the service.
             avoided: Incarnation that is chosen only if there is no other, or None.
+            reserved: Slots of each target that the task leaves free.
+            queue_allowance: Tasks that may wait at a target beyond its slots.
 
         Returns:
             The peer, or None if all are full.
@@ -199,8 +213,9 @@
             candidates,
             own.address.incarnation,
             own.availability_zone,
-            QUEUE_ALLOWANCE,
+            queue_allowance,
             self.rng,
+            reserved,
         )
         if chosen is None:
             return None
--- a/src/jackdawkeel/controllers/service_stats.py
+++ b/src/jackdawkeel/controllers/service_stats.py
@@ -19,11 +19,13 @@
         run_time: Run times of tasks that were done.
         retries: Budget for tasks that ended badly.
         hedges: Budget for second copies of stragglers.
+        busy_share: Moving average of the share of busy slots.
     """
 
     run_time: RunTime = field(default_factory=RunTime)
     retries: RetryBudget = field(default_factory=RetryBudget)
     hedges: RetryBudget = field(default_factory=lambda: RetryBudget(HEDGE_RATIO))
+    busy_share: float = 0.0
 
     def observe(self, run_ms: float) -> None:
         """Learns from a task that was done."""
