--- a/src/jackdawkeel/agent/daemon.py
+++ b/src/jackdawkeel/agent/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import signal
 from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING
@@ -29,6 +30,8 @@
 from ..target.client import TargetClient
 from .heartbeat import make_heartbeat
 from .home import Home
+from .leaving import announce_end
+from .leaving import announce_leaving
 from .refusals import find_job_refusal
 from .routing import route_message
 
@@ -44,6 +47,7 @@
 
 TICK_S = 0.05
 HEARTBEAT_S = 1.0
+HEARTBEAT_WITHOUT_LEASE_S = 0.3
 HEARTBEAT_JITTER = 0.1
 STORE_READ_MIN_S = 1.0
 STORE_READ_MAX_S = 30.0
@@ -51,6 +55,7 @@
 TASK_GRACE_S = 2.0
 QUEUE_LIMIT_PER_SLOT = 2
 DRAIN_POLL_S = 0.05
+DRAIN_NOTICE_S = 3.0
 DRAIN_SETTLE_S = 5.0
 DRAIN_LINGER_S = 0.3
 
@@ -186,6 +191,8 @@
             await self._drain()
             for task in tasks:
                 task.cancel()
+            announce_end(self)
+            await asyncio.sleep(DRAIN_LINGER_S)
         self.threads.shutdown(wait=False)
 
     def _install_signals(self) -> None:
@@ -201,15 +208,16 @@
         self.peers.own_leaving = True
         self.execution.start_ready()
         self.send_heartbeats()
+        announce_leaving(self)
         self.stopped.set()
 
     async def _drain(self) -> None:
         while self.dispatch.jobs or self.execution.running:
             await asyncio.sleep(DRAIN_POLL_S)
+        await asyncio.sleep(DRAIN_NOTICE_S)
         settle_until = self.clock() + DRAIN_SETTLE_S
         while self.execution.has_unsettled() and self.clock() < settle_until:
             await asyncio.sleep(DRAIN_POLL_S)
-        await asyncio.sleep(DRAIN_LINGER_S)
 
     def tick(self) -> None:
         """Lets time pass for all controllers."""
@@ -233,7 +241,9 @@
                 self.node.redial(entry.address.link)
             self.send_heartbeats()
             self.node.close_idle_links()
-            await asyncio.sleep(spread(HEARTBEAT_S, HEARTBEAT_JITTER))
+            has_lease = self.configuration.has_lease()
+            interval_s = HEARTBEAT_S if has_lease else HEARTBEAT_WITHOUT_LEASE_S
+            await asyncio.sleep(spread(interval_s, HEARTBEAT_JITTER))
 
     async def _read_entries(self) -> None:
         found = await self.loop.run_in_executor(None, list_entries, self.store)
@@ -248,11 +258,12 @@
 
 def run_agent(settings: AgentSettings) -> int:
     """Runs an agent until it is told to stop; returns the exit code."""
-    incarnation = mint_incarnation()
-    log = EventLog("agent", incarnation, settings.availability_zone)
-    log.record(EventName.PROCESS_STARTED, link=settings.link)
-    asyncio.run(_run(settings, log))
-    log.record(EventName.PROCESS_STOPPED)
+    # A target's malformed response is reported by the task; urllib3 also prints it.
+    logging.getLogger("urllib3").setLevel(logging.CRITICAL)
+    with EventLog("agent", mint_incarnation(), settings.availability_zone) as log:
+        log.record(EventName.PROCESS_STARTED, link=settings.link)
+        asyncio.run(_run(settings, log))
+        log.record(EventName.PROCESS_STOPPED)
     return 0
 
 
--- a/src/jackdawkeel/controllers/job_keys.py
+++ b/src/jackdawkeel/controllers/job_keys.py
@@ -21,6 +21,7 @@
 
 KEY_WINDOW_S = 24 * 60 * 60
 LEASE_SHARE_S = 300
+GRANT_RETRY_DELAY_S = 1.0
 MAX_CLAIM_ATTEMPTS = 4
 _UNKNOWN = StoreErrorKind.OUTCOME_UNKNOWN
 JOB_KEY_PREFIX = b"/jackdawkeel/job_keys/"
@@ -31,7 +32,9 @@
 
     It spares a grant per key. The lease is granted for the window and the time in
     which it is shared, so a key is known for at least ``window_s`` after its claim,
-    and for at most ``window_s`` and ``share_s`` together.
+    and for at most ``window_s`` and ``share_s`` together. After a failed grant, claims
+    are refused for ``GRANT_RETRY_DELAY_S`` without a call, so that they do not queue
+    up behind each other's timeouts.
 
     Args:
         window_s: Time for which a claimed key is known at least, in seconds.
@@ -51,6 +54,8 @@
         self.lock = threading.Lock()
         self.lease_id = 0
         self.shared_until = float("-inf")
+        self.failure: StoreError | None = None
+        self.retry_at = float("-inf")
 
     def take(self, store: Store) -> Result[int, StoreError]:
         """Returns the id of the present lease; grants a new one if it is due."""
@@ -58,11 +63,9 @@
             now = self.clock()
             if now < self.shared_until:
                 return Ok(self.lease_id)
-            granted = store.grant_lease(self.window_s + self.share_s)
-            if isinstance(granted, Ok):
-                self.lease_id = granted.ok_value
-                self.shared_until = now + self.share_s
-            return granted
+            if self.failure is not None and now < self.retry_at:
+                return Err(self.failure)
+            return self._grant(store, now)
 
     def discard(self, lease_id: int) -> None:
         """Forgets a lease that the store no longer knows."""
@@ -70,6 +73,17 @@
             if lease_id == self.lease_id:
                 self.shared_until = float("-inf")
 
+    def _grant(self, store: Store, now: float) -> Result[int, StoreError]:
+        granted = store.grant_lease(self.window_s + self.share_s)
+        if isinstance(granted, Err):
+            self.failure = granted.err_value
+            self.retry_at = self.clock() + GRANT_RETRY_DELAY_S
+            return granted
+        self.failure = None
+        self.lease_id = granted.ok_value
+        self.shared_until = now + self.share_s
+        return granted
+
 
 def claim_key(
     store: Store, lease: SharedLease, scope: str, idempotency_key: str, job_id: str
@@ -108,6 +122,44 @@
     return _refuse(error)
 
 
+def replace_claim(
+    store: Store,
+    lease: SharedLease,
+    scope: str,
+    idempotency_key: str,
+    job_id: str,
+    refused_job_id: str,
+) -> Result[str, DispatchError]:
+    """Lets a key stand for a new id in place of one that will never run.
+
+    Args:
+        store: The platform's store.
+        lease: The lease of newly claimed keys.
+        scope: What the key is unique in.
+        idempotency_key: The caller's key.
+        job_id: The new id.
+        refused_job_id: The id that its home has refused for good.
+
+    Returns:
+        The id that the key stands for now, which another replacement may have set.
+        The only error is ``STORE_UNAVAILABLE``.
+    """
+    key = encode_job_key(scope, idempotency_key)
+    taken = lease.take(store)
+    if isinstance(taken, Err):
+        return _refuse(taken.err_value)
+    read = store.get(key)
+    if isinstance(read, Err):
+        return _refuse(read.err_value)
+    item = read.ok_value.item
+    if item is None or item.value.decode() != refused_job_id:
+        return claim_key(store, lease, scope, idempotency_key, job_id)
+    claimed = _claim(store, key, job_id, taken.ok_value, item.mod_revision)
+    if isinstance(claimed, Err):
+        return _refuse(claimed.err_value)
+    return claimed
+
+
 def encode_job_key(scope: str, idempotency_key: str) -> bytes:
     """Returns the store's key of a caller's key, of a fixed length."""
     digest = hashlib.sha256()
@@ -117,9 +169,10 @@
 
 
 def _claim(
-    store: Store, key: bytes, job_id: str, lease_id: int
+    store: Store, key: bytes, job_id: str, lease_id: int, expected_revision: int = 0
 ) -> Result[str, StoreError]:
-    swap = store.compare_and_swap(key, 0, job_id.encode(), lease_id)
+    encoded = job_id.encode()
+    swap = store.compare_and_swap(key, expected_revision, encoded, lease_id)
     if isinstance(swap, Ok) and swap.ok_value.succeeded:
         return Ok(job_id)
     if isinstance(swap, Ok) and swap.ok_value.current:
