--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -15,6 +15,7 @@
 
 from bench.controller_slopes import measure_configuration
 from bench.controller_slopes import measure_heartbeats
+from bench.controller_slopes import measure_homes
 from bench.controller_slopes import measure_ids
 from bench.controller_slopes import measure_jobs
 from bench.fits import Fit
@@ -31,6 +32,7 @@
 
 PARTS: dict[str, Callable[[], list[Fit]]] = {
     "heartbeats": measure_heartbeats,
+    "homes": measure_homes,
     "jobs": measure_jobs,
     "ids": measure_ids,
     "configuration": measure_configuration,
--- a/bench/controller_slopes.py
+++ b/bench/controller_slopes.py
@@ -10,6 +10,7 @@
 from typing import cast
 
 import msgspec
+from msgspec.structs import replace
 from tests.fakes import FakeClock
 from tests.fakes import make_address
 from tests.fakes import make_log
@@ -77,14 +78,16 @@
     others: OtherEntries = field(default_factory=OtherEntries)
 
 
-def make_heartbeat(number: int) -> Heartbeat:
-    """Returns the heartbeat of an agent; 100 agents share a service."""
+def make_heartbeat(
+    number: int, agents_per_service: int = AGENTS_PER_SERVICE
+) -> Heartbeat:
+    """Returns the heartbeat of an agent; some agents share a service."""
     host = f"10.0.{number // HOSTS_PER_NET}.{number % HOSTS_PER_NET}"
     address = PeerAddress(mint_incarnation(), f"tcp://{host}:7000")
     description = AgentDescription(
         address,
         f"http://{host}:8080",
-        [f"service-{number // AGENTS_PER_SERVICE}"],
+        [f"service-{number // agents_per_service}"],
         f"zone-{number % ZONES}",
         f"rack-{number // 3}",
         8,
@@ -94,7 +97,7 @@
     return Heartbeat(12_345.678, description, 3, load, 0, False, 1)
 
 
-def make_entry(agents: int) -> EntryParts:
+def make_entry(agents: int, agents_per_service: int = AGENTS_PER_SERVICE) -> EntryParts:
     """Returns an entry that has heard the given number of agents."""
     clock = FakeClock()
     roster = RosterController("zone-0", clock, make_log(), lambda _zone: True)
@@ -103,7 +106,7 @@
     )
     entry.others.addresses = [make_address(f"{n:016x}") for n in range(3)]
     for number in range(agents):
-        roster.handle_heartbeat(make_heartbeat(number))
+        roster.handle_heartbeat(make_heartbeat(number, agents_per_service))
     for view in roster.agents.values():
         roster.refresh_peers(view)
     return entry
@@ -116,43 +119,51 @@
     return msgspec.msgpack.encode(envelope)
 
 
+def answer_raw(entry: EntryParts, raw: bytes) -> bytes:
+    """Decodes a heartbeat, answers it and encodes the reply."""
+    envelope = msgspec.msgpack.decode(raw, type=Envelope)
+    heartbeat = cast("Heartbeat", envelope.messages[0])
+    return encode(answer_heartbeat(cast("Entry", entry), heartbeat))
+
+
 def measure_heartbeats() -> list[Fit]:
-    """Measures what one heartbeat costs an entry, over the agents it hears."""
-    costs: list[tuple[float, float]] = []
-    sizes: list[tuple[float, float]] = []
-    replies: list[tuple[float, float]] = []
-    memory: list[tuple[float, float]] = []
-    homes: list[tuple[float, float]] = []
-    ticks: list[tuple[float, float]] = []
-    decoder = msgspec.msgpack.Decoder(Envelope)
+    """Measures what agents cost an entry, over the agents that it hears."""
+    points: dict[str, list[tuple[float, float]]] = {}
     for agents in AGENTS:
         entry = make_entry(agents)
         view = next(iter(entry.roster.agents.values()))
-        heartbeat = view.heartbeat
-        raw = encode(heartbeat)
-
-        def answer(entry: EntryParts = entry, raw: bytes = raw) -> bytes:
-            heard = cast("Heartbeat", decoder.decode(raw).messages[0])
-            return encode(answer_heartbeat(cast("Entry", entry), heard))
-
-        def choose(entry: EntryParts = entry) -> object:
-            return entry.roster.choose_home("service-0")
-
-        costs.append((agents, time_us(answer, 200)))
-        sizes.append((agents, len(raw)))
-        replies.append((agents, len(answer())))
-        homes.append((agents, time_us(choose, 20)))
-        ticks.append((agents, time_us(entry.roster.tick, 2)))
-        memory.append((agents, measure_bytes(partial(make_entry, agents)) / 1e6))
+        known = encode(replace(view.heartbeat, peer_list=view.peer_list))
+        unknown = encode(replace(view.heartbeat, peer_list=0))
+        late = make_heartbeat(agents)
+        measured = {
+            "heartbeat answered, us": time_us(partial(answer_raw, entry, known), 200),
+            "heartbeat, bytes": len(known),
+            "reply, bytes": len(answer_raw(entry, known)),
+            "reply with the peer list, bytes": len(answer_raw(entry, unknown)),
+            "roster tick, us": time_us(entry.roster.tick, 2),
+            "roster, MB": measure_bytes(partial(make_entry, agents)) / 1e6,
+            "new agent, us": time_us(partial(hear_new, entry, late), 20),
+        }
+        for name, value in measured.items():
+            points.setdefault(name, []).append((agents, value))
     over = "agents heard by an entry"
-    return [
-        fit_line("heartbeat answered, us", over, costs),
-        fit_line("heartbeat, bytes", over, sizes),
-        fit_line("reply, bytes", over, replies),
-        fit_line("choice of a home, us", over, homes),
-        fit_line("roster tick, us", over, ticks),
-        fit_line("roster, MB", over, memory),
-    ]
+    return [fit_line(name, over, some) for name, some in points.items()]
+
+
+def hear_new(entry: EntryParts, heartbeat: Heartbeat) -> None:
+    """Hears an agent for the first time, and forgets it."""
+    entry.roster.handle_heartbeat(heartbeat)
+    entry.roster.mark_gone(heartbeat.agent.address.incarnation)
+
+
+def measure_homes() -> list[Fit]:
+    """Measures the choice of a home, over the agents of its service."""
+    points: list[tuple[float, float]] = []
+    for agents in AGENTS:
+        roster = make_entry(agents, agents).roster
+        cost = time_us(partial(roster.choose_home, "service-0"), 20)
+        points.append((agents, cost))
+    return [fit_line("choice of a home, us", "agents of the service", points)]
 
 
 def pass_on(job: SubmitJob) -> Envelope:
