--- /dev/null
+++ b/tests/bench/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the measuring tools."""
+
+from __future__ import annotations
