Send head and body of a task at once, after its permit is checked

The permit was checked before the head was sent, and urllib3 sends the body by a second call. A thread that gives up the interpreter lock in between sends the body, and so starts the task, whenever it gets on; if the process is paused there, long after the permit's end.

Change: the connection collects what the library sends for a request, checks the permit, then sends it by one call. What remains is a pause between the check and that call.

--- a/src/jackdawkeel/target/connection.py
+++ b/src/jackdawkeel/target/connection.py
@@ -55,7 +55,11 @@
 
 
 class PermittedConnection(HTTPConnection):
-    """A connection that connects first and then checks the permit of the attempt.
+    """A connection that checks the permit of the attempt just before it sends.
+
+    The library sends head and body apart. Here they leave together, after the check:
+    a process that is paused between the two would start the task when it continues,
+    long after its permit has ended.
 
     A target may close a connection that has been idle for long just as the next
     request is sent, and whether it was read is then unknown. So a connection that
@@ -63,11 +67,12 @@
     """
 
     used_at: float = 0.0
+    parts: list[bytes] | None = None
 
     def request(  # type: ignore[override]
         self, method: str, url: str, **options: Any
     ) -> None:
-        """Connects, checks the permit, then sends the request.
+        """Connects, builds the request, checks the permit, then sends it.
 
         Raises:
             PermitExpiredError: If the permit has run out; nothing was sent.
@@ -76,8 +81,25 @@
             self.close()
         if self.sock is None:
             self.connect()
+        whole = self._build(method, url, options)
         current_attempt.get().mark_sent()
-        super().request(method, url, **options)
+        super().send(whole)
+
+    def send(self, data: bytes) -> None:  # type: ignore[override]
+        """Sends bytes, or keeps them while a request is built."""
+        if self.parts is None:
+            super().send(data)
+        else:
+            self.parts.append(data)
+
+    def _build(self, method: str, url: str, options: dict[str, Any]) -> bytes:
+        parts: list[bytes] = []
+        self.parts = parts
+        try:
+            super().request(method, url, **options)
+        finally:
+            self.parts = None
+        return b"".join(parts)
 
     def getresponse(self) -> HTTPResponse:  # type: ignore[override]
         """Returns the head of the response."""
--- a/tests/target/test_client.py
+++ b/tests/target/test_client.py
@@ -7,6 +7,7 @@
 import unittest
 from contextlib import contextmanager
 from dataclasses import dataclass
+from http.client import HTTPConnection
 from typing import TYPE_CHECKING
 from unittest import mock
 
@@ -256,6 +257,25 @@
         self.assertIn(b"\r\nContent-Type: application/json\r\n", request)
         self.assertTrue(request.endswith(b"\r\n\r\n{}"))
 
+    def test_head_and_body_leave_together_after_the_permit_is_checked(self) -> None:
+        steps: list[str] = []
+        send_bytes = HTTPConnection.send
+
+        def read_clock() -> float:
+            steps.append("clock")
+            return 0.0
+
+        def send(connection: HTTPConnection, data: bytes) -> None:
+            steps.append("send")
+            send_bytes(connection, data)
+
+        target, client = self.start(clock=read_clock)
+        with mock.patch.object(HTTPConnection, "send", send):
+            self.assert_state(DONE, call(client))
+        self.assertEqual(["clock", "clock", "send"], steps[:3])
+        self.assertEqual(1, steps.count("send"))
+        self.assertEqual(1, len(target.starts))
+
     def test_urls_that_are_refused(self) -> None:
         for url in ["https://127.0.0.1:1", "ftp://127.0.0.1", "http://", "target"]:
             with self.subTest(url), self.assertRaises(ValueError):
