--- a/tests/controllers/__init__.py
+++ b/tests/controllers/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the controllers."""
+"""Tests of the package ``controllers``."""
