Bound the ids a home keeps, spread the first store read, index links

Now eras end at 10,000 ids (18 MB for three, by the measured 613 bytes an id); running jobs outlive their era one by one; the first read after a loss waits up to 2 s at random; predecessors are found by link address. The old test that an era stays while a job runs is replaced by a stricter one: the job stays, and the eras stay bounded. Not measured again: the cost of a new agent.

--- a/src/jackdawkeel/agent/daemon.py
+++ b/src/jackdawkeel/agent/daemon.py
@@ -51,6 +51,7 @@
 HEARTBEAT_JITTER = 0.1
 STORE_READ_MIN_S = 1.0
 STORE_READ_MAX_S = 30.0
+STORE_READ_FIRST_DELAY_S = 2.0
 MAX_TASK_S = 120.0
 TASK_GRACE_S = 2.0
 QUEUE_LIMIT_PER_SLOT = 2
@@ -128,7 +129,9 @@
         self.target = TargetClient(settings.target, settings.connections, self.clock)
         self.threads = ThreadPoolExecutor(settings.slots, "target")
         self.store = EtcdStore(settings.store)
-        self.store_reads = Backoff(STORE_READ_MIN_S, STORE_READ_MAX_S, self.clock)
+        self.store_reads = Backoff(
+            STORE_READ_MIN_S, STORE_READ_MAX_S, STORE_READ_FIRST_DELAY_S, self.clock
+        )
         self.stopped = asyncio.Event()
         self.had_lease = False
 
--- a/src/jackdawkeel/backoff.py
+++ b/src/jackdawkeel/backoff.py
@@ -16,21 +16,33 @@
 
 
 class Backoff:
-    """Decides when to try again, after delays that double up to a bound."""
+    """Decides when to try, after delays that double up to a bound.
 
-    def __init__(self, min_s: float, max_s: float, clock: Clock) -> None:
+    The first try of the process comes at once; later needs begin with a random
+    delay, as what caused them may have hit many processes at the same moment.
+    """
+
+    def __init__(
+        self, min_s: float, max_s: float, first_delay_s: float, clock: Clock
+    ) -> None:
         self.min_s = min_s
         self.max_s = max_s
+        self.first_delay_s = first_delay_s
         self.clock = clock
         self.delay_s = min_s
         self.next_at = 0.0
+        self.was_needed = True
 
     def is_due(self, is_needed: bool) -> bool:
         """Returns whether to try now; when nothing is needed, starts anew."""
         if not is_needed:
             self.delay_s = self.min_s
+            self.was_needed = False
             return False
         now = self.clock()
+        if not self.was_needed:
+            self.was_needed = True
+            self.next_at = now + random.uniform(0.0, self.first_delay_s)
         if now < self.next_at:
             return False
         self.next_at = now + random.uniform(self.min_s / 2, self.delay_s)
--- a/src/jackdawkeel/controllers/admission.py
+++ b/src/jackdawkeel/controllers/admission.py
@@ -12,16 +12,16 @@
 from ..answer import encode_answer
 from ..errors import DispatchError
 from ..errors import ErrorKind
+from ..job_id import JobId
 
 
 if TYPE_CHECKING:
     from ..clock import Clock
-    from ..job_id import JobId
     from ..messages import PeerAddress
 
 
 ERA_S = 600.0
-MAX_IDS_PER_ERA = 50_000
+MAX_IDS_PER_ERA = 10_000
 KEPT_ERAS = 3
 MAX_KEPT_ANSWER_BYTES = 8 * 1024 * 1024
 ANSWER_KEPT_S = 900.0
@@ -55,11 +55,12 @@
     """Admits each id at most once, in bounded memory.
 
     Ids carry the era in which they were minted. The record of an era is dropped as
-    a whole, and ids of dropped eras are never admitted again.
+    a whole, but for jobs that still run, and ids of dropped eras are never admitted.
 
     Attributes:
         era: The era in which new ids are minted.
-        oldest_era: Ids of lower eras are refused.
+        oldest_era: Ids of lower eras are refused, but for ``survivors``.
+        survivors: Jobs of dropped eras that ran when their era was dropped.
     """
 
     def __init__(self, incarnation: str, clock: Clock) -> None:
@@ -69,18 +70,21 @@
         self.oldest_era = 1
         self.era_started_at = clock()
         self.eras: dict[int, dict[str, JobRecord]] = {1: {}}
+        self.survivors: dict[JobId, JobRecord] = {}
         self.kept: deque[KeptAnswer] = deque()
         self.kept_bytes = 0
 
     def find(self, job_id: JobId) -> JobRecord | None:
         """Returns the record of an id, or None if it was never seen."""
+        if job_id.era < self.oldest_era:
+            return self.survivors.get(job_id)
         return self.eras.get(job_id.era, {}).get(job_id.nonce)
 
     def find_refusal(self, job_id: JobId) -> DispatchError | None:
         """Returns why the id can't be looked up here, or None."""
         if job_id.incarnation != self.incarnation or job_id.era > self.era:
             return DispatchError(ErrorKind.NO_SUCH_ID, "no agent minted this job id")
-        if job_id.era < self.oldest_era:
+        if job_id.era < self.oldest_era and job_id not in self.survivors:
             message = "the record of this job id has been dropped; it may have run"
             return DispatchError(ErrorKind.ID_EXPIRED, message)
         return None
@@ -93,10 +97,11 @@
 
     def keep_answer(self, job_id: JobId, answer: Answer) -> bytes:
         """Records the final answer of an admitted id and returns it encoded."""
-        record = self.eras[job_id.era][job_id.nonce]
         encoded = encode_answer(answer)
-        record.answer = encoded
-        if answer.results is not None:
+        record = self.find(job_id)
+        if record is not None:
+            record.answer = encoded
+        if answer.results is not None or job_id in self.survivors:
             self.kept.append(KeptAnswer(job_id, self.clock(), len(encoded)))
             self.kept_bytes += len(encoded)
             self._drop_answers()
@@ -111,19 +116,18 @@
             self._turn_era()
 
     def _turn_era(self) -> None:
-        if self.era - self.oldest_era + 1 >= KEPT_ERAS and not self._drop_oldest_era():
-            return
+        if self.era - self.oldest_era + 1 >= KEPT_ERAS:
+            self._drop_oldest_era()
         self.era += 1
         self.eras[self.era] = {}
         self.era_started_at = self.clock()
 
-    def _drop_oldest_era(self) -> bool:
-        records = self.eras[self.oldest_era].values()
-        if any(record.answer is None for record in records):
-            return False
-        del self.eras[self.oldest_era]
+    def _drop_oldest_era(self) -> None:
+        era = self.oldest_era
+        for nonce, record in self.eras.pop(era).items():
+            if record.answer is None:
+                self.survivors[JobId(self.incarnation, era, nonce)] = record
         self.oldest_era += 1
-        return True
 
     def _drop_answers(self) -> None:
         oldest_kept = self.clock() - ANSWER_KEPT_S
@@ -134,7 +138,7 @@
             kept = self.kept.popleft()
             self.kept_bytes -= kept.size_bytes
             record = self.find(kept.job_id)
-            if record is not None:
+            if self.survivors.pop(kept.job_id, None) is None and record is not None:
                 record.answer = _encode_expired(kept.job_id)
 
 
--- a/src/jackdawkeel/controllers/roster.py
+++ b/src/jackdawkeel/controllers/roster.py
@@ -34,7 +34,7 @@
 
 LIVE_S = 3.0
 DROP_S = 120.0
-HOME_DRAWS = 2
+HOME_DRAWS = 1
 MAX_GONE = 10_000
 
 
@@ -79,6 +79,7 @@
         self.log = log
         self.is_zone_in_service = is_zone_in_service
         self.agents: dict[str, AgentView] = {}
+        self.incarnations: dict[str, str] = {}
         self.index = AgentIndex()
         self.gone: dict[str, None] = {}
         self.ejection = EjectionState()
@@ -112,6 +113,7 @@
         view = self.agents.pop(incarnation, None)
         if view is not None:
             self.index.remove(view.heartbeat.agent)
+            self.incarnations.pop(view.address.link, None)
         forget_agent(self.ejection, incarnation)
         self.gone[incarnation] = None
         if len(self.gone) > MAX_GONE:
@@ -232,9 +234,10 @@
         ]
 
     def _replace_predecessor(self, address: PeerAddress) -> None:
-        for incarnation, view in list(self.agents.items()):
-            if view.address.link == address.link:
-                self.mark_gone(incarnation)
+        predecessor = self.incarnations.get(address.link)
+        if predecessor is not None and predecessor != address.incarnation:
+            self.mark_gone(predecessor)
+        self.incarnations[address.link] = address.incarnation
 
     def _describe(self, view: AgentView) -> Candidate:
         agent = view.heartbeat.agent
--- a/tests/controllers/test_admission.py
+++ b/tests/controllers/test_admission.py
@@ -58,13 +58,21 @@
             self.assertNotEqual(known, refused)
         self.assertFalse(known)
 
-    def test_an_era_with_a_running_job_is_not_dropped(self) -> None:
-        job_id = self.mint()
-        self.admission.admit(job_id, "digest")
+    def test_a_running_job_outlives_its_era(self) -> None:
+        job_id, ended = self.mint(), self.mint()
+        for one in (job_id, ended):
+            self.admission.admit(one, "digest")
+        self.admission.keep_answer(ended, answer_done(str(ended), []))
         self.turn_eras(3 * KEPT_ERAS)
+        self.assertIsNotNone(self.admission.find_refusal(ended))
+        self.assertLessEqual(len(self.admission.eras), KEPT_ERAS)
         self.assertIsNotNone(self.admission.find(job_id))
+        self.assertIsNone(self.admission.find_refusal(job_id))
         self.admission.keep_answer(job_id, answer_done(str(job_id), []))
-        self.turn_eras(1)
+        self.assertIsNotNone(self.admission.find(job_id))
+        self.clock.advance(ANSWER_KEPT_S + 1)
+        self.admission.tick()
+        self.assertIsNone(self.admission.find(job_id))
         self.assertIsNotNone(self.admission.find_refusal(job_id))
 
     def test_dropped_answers_are_told_as_expired(self) -> None:
