--- a/src/jackdawkeel/controllers/job_keys.py
+++ b/src/jackdawkeel/controllers/job_keys.py
@@ -122,44 +122,6 @@
     return _refuse(error)
 
 
-def replace_claim(
-    store: Store,
-    lease: SharedLease,
-    scope: str,
-    idempotency_key: str,
-    job_id: str,
-    refused_job_id: str,
-) -> Result[str, DispatchError]:
-    """Lets a key stand for a new id in place of one that will never run.
-
-    Args:
-        store: The platform's store.
-        lease: The lease of newly claimed keys.
-        scope: What the key is unique in.
-        idempotency_key: The caller's key.
-        job_id: The new id.
-        refused_job_id: The id that its home has refused for good.
-
-    Returns:
-        The id that the key stands for now, which another replacement may have set.
-        The only error is ``STORE_UNAVAILABLE``.
-    """
-    key = encode_job_key(scope, idempotency_key)
-    taken = lease.take(store)
-    if isinstance(taken, Err):
-        return _refuse(taken.err_value)
-    read = store.get(key)
-    if isinstance(read, Err):
-        return _refuse(read.err_value)
-    item = read.ok_value.item
-    if item is None or item.value.decode() != refused_job_id:
-        return claim_key(store, lease, scope, idempotency_key, job_id)
-    claimed = _claim(store, key, job_id, taken.ok_value, item.mod_revision)
-    if isinstance(claimed, Err):
-        return _refuse(claimed.err_value)
-    return claimed
-
-
 def encode_job_key(scope: str, idempotency_key: str) -> bytes:
     """Returns the store's key of a caller's key, of a fixed length."""
     digest = hashlib.sha256()
@@ -169,10 +131,9 @@
 
 
 def _claim(
-    store: Store, key: bytes, job_id: str, lease_id: int, expected_revision: int = 0
+    store: Store, key: bytes, job_id: str, lease_id: int
 ) -> Result[str, StoreError]:
-    encoded = job_id.encode()
-    swap = store.compare_and_swap(key, expected_revision, encoded, lease_id)
+    swap = store.compare_and_swap(key, 0, job_id.encode(), lease_id)
     if isinstance(swap, Ok) and swap.ok_value.succeeded:
         return Ok(job_id)
     if isinstance(swap, Ok) and swap.ok_value.current:
--- a/src/jackdawkeel/entry/jobs.py
+++ b/src/jackdawkeel/entry/jobs.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from functools import partial
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -13,10 +12,8 @@
 from ..answer import Answer
 from ..answer import answer_error
 from ..controllers.job_keys import claim_key
-from ..controllers.job_keys import replace_claim
 from ..errors import DispatchError
 from ..errors import ErrorKind
-from ..errors import Outcome
 from ..job_id import mint_job_id
 from ..job_id import parse_job_id
 from ..job_request import JobRequest
@@ -33,8 +30,6 @@
 
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from ..controllers.roster import AgentView
     from .daemon import Entry
 
@@ -164,25 +159,18 @@
     if home is None:
         return answer_error(None, _no_target(request.service))
     minted = mint_job_id(home.address.incarnation, home.heartbeat.era)
-    claimed = await _call_store(entry, claim_key, key, str(minted))
+    claimed = await entry.loop.run_in_executor(
+        entry.store_threads,
+        claim_key,
+        entry.store,
+        entry.key_lease,
+        KEY_SCOPE,
+        key,
+        str(minted),
+    )
     if claimed.is_err():
         return answer_error(None, claimed.unwrap_err())
-    job_id = claimed.unwrap()
-    answer = await _submit(entry, job_id, request, None)
-    if job_id == str(minted) or answer.outcome is not Outcome.NOT_RUN:
-        return answer
-    # An earlier request with the key was refused, and its id will never run.
-    replaced = await _call_store(entry, replace_claim, key, str(minted), job_id)
-    if replaced.is_err():
-        return answer_error(None, replaced.unwrap_err())
-    return await _submit(entry, replaced.unwrap(), request, None)
-
-
-async def _call_store(
-    entry: Entry, call: Callable[..., Result[str, DispatchError]], *arguments: str
-) -> Result[str, DispatchError]:
-    bound = partial(call, entry.store, entry.key_lease, KEY_SCOPE, *arguments)
-    return await entry.loop.run_in_executor(entry.store_threads, bound)
+    return await _submit(entry, claimed.unwrap(), request, None)
 
 
 async def _submit(
