Say from which revision a compacted watch goes on

Cause: a watch that restarts after the key's own revision is refused for ever once the store has compacted beyond it.

Change: the docstring of Watch.read names the revision of the reading.

--- a/src/jackdawkeel/store/interface.py
+++ b/src/jackdawkeel/store/interface.py
@@ -110,7 +110,8 @@
         """Waits for the next changes, in order of their revisions.
 
         After ``UNAVAILABLE`` a later call resumes where the watch was. After
-        ``COMPACTED`` the keys must be read and watched anew.
+        ``COMPACTED`` the keys must be read and watched anew, from the revision after
+        that of the reading: a key's own revision may be older than the compaction.
         """
         ...
 
