Read the store on a fixed beat, watch from its revision, name ticket conflicts

Cause: (1) the watch began at the configuration's revision, which may be compacted although nothing was missed, and reopened twice a second without end; (2) a read begun before a pause was noticed did not count; (3) reads one after the other let leases run down while the store is slow; (4) a lost answer to the announcement kept an entry out of the roster until the orphaned lease lapsed; (5) in the first second of an outage leases shrank to 0.5 s, below the heartbeat; (6) a ticket's conflict said unknown although nothing was written; (7) a peer's word of a later revision did not count as reaching the store, so the store could be taken to be down beside it.

--- a/src/jackdawkeel/agent/daemon.py
+++ b/src/jackdawkeel/agent/daemon.py
@@ -47,7 +47,7 @@
 
 TICK_S = 0.05
 HEARTBEAT_S = 1.0
-HEARTBEAT_WITHOUT_LEASE_S = 0.3
+HEARTBEAT_OF_ENDING_LEASE_S = 0.3
 HEARTBEAT_JITTER = 0.1
 STORE_READ_MIN_S = 1.0
 STORE_READ_MAX_S = 30.0
@@ -244,8 +244,9 @@
                 self.node.redial(entry.address.link)
             self.send_heartbeats()
             self.node.close_idle_links()
-            has_lease = self.configuration.has_lease()
-            interval_s = HEARTBEAT_S if has_lease else HEARTBEAT_WITHOUT_LEASE_S
+            lease_s = self.configuration.lease_until - self.clock()
+            is_ending = lease_s < HEARTBEAT_S
+            interval_s = HEARTBEAT_OF_ENDING_LEASE_S if is_ending else HEARTBEAT_S
             await asyncio.sleep(spread(interval_s, HEARTBEAT_JITTER))
 
     async def _read_entries(self) -> None:
--- a/src/jackdawkeel/controllers/configuration.py
+++ b/src/jackdawkeel/controllers/configuration.py
@@ -19,7 +19,7 @@
 
 MAX_STALENESS_MS = 3000
 MAX_CLOCK_GAP_S = 0.5
-RECENT_CONFIRMATION_S = 2.5
+RECENT_CONFIRMATION_S = 1.5
 PEER_ANSWER_WAIT_S = 1.5
 NEVER = float("-inf")
 
@@ -36,6 +36,8 @@
         document: The decoded document.
         encoded: The document as it is stored.
         confirmed_at: Moment of the last confirmation, by the store or by a peer.
+        store_reached_at: When this entry or a peer is last known to have reached the
+            store, whatever the revision it read.
         ready: Whether any confirmed version was ever known.
         last_read_sent_at: When the last sent of the ended reads was sent.
         last_read_failed: Whether that read failed.
@@ -52,6 +54,7 @@
         self.document = ConfigurationDocument()
         self.encoded = b""
         self.confirmed_at = NEVER
+        self.store_reached_at = NEVER
         self.ready = False
         self.last_read_sent_at = NEVER
         self.last_read_failed = False
@@ -82,6 +85,7 @@
         force here confirms nothing.
         """
         self._note_read(read_sent_at, failed=False)
+        self.store_reached_at = max(self.store_reached_at, read_sent_at)
         self._confirm(read_sent_at, revision)
 
     def record_failed_read(self, read_sent_at: float, now: float) -> None:
@@ -102,7 +106,9 @@
             revision: The revision in force at the peer.
         """
         if age_ms >= 0:
-            self._confirm(question_sent_at - age_ms / 1000, revision)
+            moment = question_sent_at - age_ms / 1000
+            self.store_reached_at = max(self.store_reached_at, moment)
+            self._confirm(moment, revision)
 
     def note_clock(self, now: float) -> None:
         """Notices a pause of the process; call it several times a second."""
@@ -164,4 +170,4 @@
     def _is_store_down(self, now: float) -> bool:
         if not self.last_read_failed or now < self.peers_heard_by:
             return False
-        return now - self.confirmed_at > RECENT_CONFIRMATION_S
+        return now - self.store_reached_at > RECENT_CONFIRMATION_S
--- a/src/jackdawkeel/controllers/tickets.py
+++ b/src/jackdawkeel/controllers/tickets.py
@@ -61,7 +61,7 @@
     """Applies all of a ticket's objects, or none.
 
     Errors are ``SUPERSEDED`` if a later ticket wrote a touched object, and
-    ``CONFLICT`` if the number already stands for another content.
+    ``TICKET_CONFLICT`` if the number already stands for another content.
     """
     if not 1 <= number <= MAX_TICKET_NUMBER:
         message = f"ticket numbers go from 1 to {MAX_TICKET_NUMBER}"
@@ -80,7 +80,7 @@
     if written == touched:
         return Ok(AppliedTicket(document, True))
     message = f"ticket {number} was submitted before with another content"
-    return Err(DispatchError(ErrorKind.CONFLICT, message))
+    return Err(DispatchError(ErrorKind.TICKET_CONFLICT, message))
 
 
 def took_effect(
--- a/src/jackdawkeel/entry/store_sync.py
+++ b/src/jackdawkeel/entry/store_sync.py
@@ -33,6 +33,7 @@
 ENTRIES_INTERVAL_S = 3.0
 WATCH_RETRY_S = 0.5
 STORE_THREADS = 8
+MAX_READS_AT_ONCE = 3
 
 
 class StoreSync:
@@ -70,6 +71,8 @@
         self.entries: list[PeerAddress] = []
         self.lease_id: int | None = None
         self.is_reached: bool | None = None
+        self.read_revision = 0
+        self.reads: set[asyncio.Task[None]] = set()
         self.watch: Watch | None = None
 
     def __enter__(self) -> Self:
@@ -83,7 +86,7 @@
         return self
 
     def __exit__(self, *_: object) -> None:
-        for task in self.tasks:
+        for task in [*self.tasks, *self.reads]:
             task.cancel()
         if self.watch is not None:
             self.watch.close()
@@ -91,12 +94,20 @@
 
     async def _confirm_forever(self) -> None:
         while True:
-            await self.confirm()
+            self.confirm_soon()
             await asyncio.sleep(CONFIRM_INTERVAL_S)
 
+    def confirm_soon(self) -> None:
+        """Begins a confirming read; a slow one does not hold up the next."""
+        if len(self.reads) < MAX_READS_AT_ONCE:
+            read = asyncio.create_task(self.confirm())
+            self.reads.add(read)
+            read.add_done_callback(self.reads.discard)
+
     async def confirm(self) -> None:
         """Reads the configuration once, as a confirmation from now."""
         sent_at = self.clock()
+        self.configuration.note_clock(sent_at)
         read = await self.loop.run_in_executor(
             self.threads, self.store.get, CONFIGURATION_KEY
         )
@@ -107,6 +118,7 @@
             self.on_failed_read()
             return
         reading = read.unwrap()
+        self.read_revision = max(self.read_revision, reading.revision)
         if reading.item is not None:
             self.apply(reading.item.mod_revision, reading.item.value)
         revision = reading.item.mod_revision if reading.item is not None else 0
@@ -125,11 +137,9 @@
         self.log.record(EventName.CONFIGURATION_APPLIED, revision=revision)
 
     async def _watch_forever(self) -> None:
-        while not self.configuration.is_ready():
+        while not self.read_revision:
             await asyncio.sleep(WATCH_RETRY_S)
-        self.watch = self.store.watch(
-            CONFIGURATION_KEY, self.configuration.revision + 1
-        )
+        self.watch = self._open_watch()
         while True:
             read = await self.loop.run_in_executor(self.threads, self.watch.read)
             if read.is_ok():
@@ -139,11 +149,15 @@
                 return
             if read.unwrap_err().kind is StoreErrorKind.COMPACTED:
                 await self.confirm()
-                self.watch = self.store.watch(
-                    CONFIGURATION_KEY, self.configuration.revision + 1
-                )
+                self.watch.close()
+                self.watch = self._open_watch()
             await asyncio.sleep(WATCH_RETRY_S)
 
+    def _open_watch(self) -> Watch:
+        # Nothing was missed up to the store's revision at the last read, and that
+        # is less likely to be compacted than the configuration's own revision.
+        return self.store.watch(CONFIGURATION_KEY, self.read_revision + 1)
+
     def _apply_changes(self, changes: list[KeyChange]) -> None:
         for change in changes:
             if change.value is not None:
--- a/src/jackdawkeel/errors.py
+++ b/src/jackdawkeel/errors.py
@@ -29,6 +29,7 @@
     BODY_TOO_LARGE = "body_too_large"
     CONFLICT = "conflict"
     SUPERSEDED = "superseded"
+    TICKET_CONFLICT = "ticket_conflict"
     OVER_QUOTA = "over_quota"
     OVERLOADED = "overloaded"
     NO_TARGET = "no_target"
@@ -78,6 +79,7 @@
     ErrorKind.NO_SUCH_TICKET: ErrorRow(Outcome.NOT_RUN, 404),
     ErrorKind.BODY_TOO_LARGE: ErrorRow(Outcome.NOT_RUN, 413),
     ErrorKind.CONFLICT: ErrorRow(Outcome.UNKNOWN, 409, final=False),
+    ErrorKind.TICKET_CONFLICT: ErrorRow(Outcome.NOT_RUN, 409),
     ErrorKind.SUPERSEDED: ErrorRow(Outcome.NOT_RUN, 409),
     ErrorKind.OVER_QUOTA: ErrorRow(Outcome.NOT_RUN, 429, retry_after_ms=1000),
     ErrorKind.OVERLOADED: ErrorRow(Outcome.NOT_RUN, 503, retry_after_ms=1000),
--- a/src/jackdawkeel/store/entries.py
+++ b/src/jackdawkeel/store/entries.py
@@ -32,9 +32,19 @@
 def announce_entry(
     store: Store, address: PeerAddress, lease_id: int
 ) -> Result[SwapResult, StoreError]:
-    """Writes an entry's address under its lease."""
+    """Writes an entry's address under its lease.
+
+    The key may be there already, under a lease whose grant or write got no answer.
+    """
     key = ENTRY_PREFIX + address.incarnation.encode()
-    return store.compare_and_swap(key, 0, address.link.encode(), lease_id)
+    encoded = address.link.encode()
+    first = store.compare_and_swap(key, 0, encoded, lease_id)
+    if first.is_err() or first.unwrap().succeeded:
+        return first
+    current = first.unwrap().current
+    if current is None:
+        return first
+    return store.compare_and_swap(key, current.mod_revision, encoded, lease_id)
 
 
 def _link(value: bytes) -> str:
