--- a/tests/integration/fleet_test_case.py
+++ b/tests/integration/fleet_test_case.py
@@ -31,20 +31,36 @@
     """Starts a fleet for each test; the judge reads only records from outside."""
 
     def start_fleet(self, **options: Any) -> Fleet:
-        """Starts a fleet that ends with the test."""
+        """Starts a fleet that ends with the test; prints its logs if that failed."""
         fleet = self.enterContext(Fleet(**options))
+        self.addCleanup(self.print_logs_of_failure, fleet)
         self.threads = self.enterContext(ThreadPoolExecutor(BACKGROUND_CALLS))
+        self.calls: list[Future[Reply]] = []
         return fleet
 
+    def print_logs_of_failure(self, fleet: Fleet) -> None:
+        """Prints the ends of the logs if the test has failed so far."""
+        if not getattr(self, "_outcome").success:  # noqa: B009
+            fleet.print_tails()
+
     def begin(self, call: Callable[[], Reply]) -> Future[Reply]:
         """Starts a call in the background."""
-        return self.threads.submit(call)
+        self.calls.append(self.threads.submit(call))
+        return self.calls[-1]
 
     def wait_for_starts(self, fleet: Fleet, job_id: str, count: int) -> None:
-        """Waits until so many tasks of a job have started."""
+        """Waits until so many tasks of a job have started.
+
+        Raises:
+            AssertionError: If all calls were answered before.
+        """
 
         def has_started() -> bool:
-            return sum(is_of(job_id, task) for task in fleet.count_starts()) >= count
+            if sum(is_of(job_id, task) for task in fleet.count_starts()) >= count:
+                return True
+            if all(call.done() for call in self.calls):
+                raise AssertionError(f"no {count} starts: {self.calls[-1].result()}")
+            return False
 
         fleet.wait_until(has_started, f"{count} starts")
 
--- a/tests/standins/processes.py
+++ b/tests/standins/processes.py
@@ -21,6 +21,7 @@
 POLL_S = 0.01
 DEFAULT_WAIT_S = 20.0
 LOG_TAIL_LINES = 20
+TASK_EVENT = '"message_type":"task_'
 
 
 def pick_address(host: str) -> str:
@@ -120,9 +121,9 @@
         return self.process.poll() is None
 
     def tail(self) -> str:
-        """Returns the last lines of its output and of its errors."""
-        lines = [
-            *self.log.read_text(errors="replace").splitlines()[-LOG_TAIL_LINES:],
-            *self.error_log.read_text(errors="replace").splitlines()[-LOG_TAIL_LINES:],
-        ]
+        """Returns its last events but those of tasks, and its last errors."""
+        events = self.log.read_text(errors="replace").splitlines()
+        rare = [event for event in events if TASK_EVENT not in event]
+        errors = self.error_log.read_text(errors="replace").splitlines()
+        lines = [*rare[-LOG_TAIL_LINES:], *errors[-LOG_TAIL_LINES:]]
         return "\n".join([f"--- {self.name}", *lines])
