Let the home say no such service for an id, and test configurations

Cause: an entry that has not yet heard of a new service answered not_run for an id whose job another entry had carried and the targets had run (seen with silent watches, a slow store and silence between the entries). The same held for an Idempotency-Key, whose caller is told to come back under a new one.

Change: for an id, the refusal goes to its home like any other. For a key, the entry says so only after a read of the store that began after the request; else the answer is unknown and not final. New integration tests: operators who race through both entries, a lower number after a higher one, a lost answer with silent and compacted watches, an entry that starts in an outage, and the lagging entry.

--- a/src/jackdawkeel/entry/filters.py
+++ b/src/jackdawkeel/entry/filters.py
@@ -84,7 +84,7 @@
     check_quota,
 )
 
-ENTRY_ONLY_KINDS = frozenset({ErrorKind.ENTRY_NOT_READY, ErrorKind.NO_SUCH_SERVICE})
+ENTRY_ONLY_KINDS = frozenset({ErrorKind.ENTRY_NOT_READY})
 
 
 def find_refusal(entry: Entry, call: JobCall) -> DispatchError | None:
--- a/src/jackdawkeel/entry/jobs.py
+++ b/src/jackdawkeel/entry/jobs.py
@@ -95,8 +95,7 @@
     request = parsed.unwrap()
     refusal = find_refusal(entry, JobCall(request, has_id=True))
     if refusal is not None and refusal.kind in ENTRY_ONLY_KINDS:
-        is_about_id = refusal.kind is ErrorKind.ENTRY_NOT_READY
-        return answer_error(job_id_text if is_about_id else None, refusal)
+        return answer_error(job_id_text, refusal)
     return await _submit(entry, job_id_text, request, refusal)
 
 
@@ -150,14 +149,15 @@
         return answer_error(None, DispatchError(ErrorKind.BAD_REQUEST, text))
     if refusal is not None:
         # The key may have an id from an earlier request, which may have run.
-        kind = refusal.kind
-        if kind is ErrorKind.NO_SUCH_SERVICE:
+        is_about_service = refusal.kind is ErrorKind.NO_SUCH_SERVICE
+        if is_about_service and await _has_never_existed(entry, request.service):
             return answer_error(None, refusal)
         refusal = DispatchError(ErrorKind.ENTRY_NOT_READY, refusal.message)
         return answer_error(None, refusal)
     home = entry.roster.choose_home(request.service)
     if home is None:
-        return answer_error(None, _no_target(request.service))
+        message = _no_target(request.service).message
+        return answer_error(None, DispatchError(ErrorKind.ENTRY_NOT_READY, message))
     minted = mint_job_id(home.address.incarnation, home.heartbeat.era)
     claimed = await entry.loop.run_in_executor(
         entry.store_threads,
@@ -173,6 +173,18 @@
     return await _submit(entry, claimed.unwrap(), request, None)
 
 
+async def _has_never_existed(entry: Entry, service: str) -> bool:
+    """Returns whether a read that begins now finds no service of this name.
+
+    Tickets set services up and never take them away, so no job of it has run.
+    """
+    asked_at = entry.clock()
+    await entry.sync.confirm()
+    if entry.configuration.confirmed_at < asked_at:
+        return False
+    return service not in entry.configuration.document.services
+
+
 async def _submit(
     entry: Entry, job_id: str, request: JobRequest, refusal: DispatchError | None
 ) -> Answer:
--- /dev/null
+++ b/tests/integration/test_configuration.py
@@ -0,0 +1,145 @@
+"""An accepted configuration is in force everywhere within seconds, and stays."""
+
+from __future__ import annotations
+
+import json
+from itertools import pairwise
+from typing import TYPE_CHECKING
+from typing import Any
+
+from tests.integration.fleet_test_case import FleetTestCase
+from tests.integration.fleet_test_case import make_payloads
+from tests.standins.caller import make_job
+from tests.standins.fleet import SERVICE
+from tests.standins.proxy import Fault
+
+
+if TYPE_CHECKING:
+    from tests.standins.fleet import Fleet
+
+
+CONFIGURATION_KEY = "/jackdawkeel/configuration"
+IN_FORCE_S = 5.0
+LATER_SERVICE = "monthly-counts"
+STORE_DELAY_MS = 4000
+RACED_TICKETS = range(2, 22)
+TEAMS = ["statistics", "auditors"]
+
+
+def list_documents(fleet: Fleet) -> list[dict[str, Any]]:
+    """Returns every configuration that was ever stored, in order."""
+    writes = fleet.read_store_record()["writes"]
+    return [
+        json.loads(write["value"])
+        for write in writes
+        if write["key"] == CONFIGURATION_KEY
+    ]
+
+
+def is_in_force(fleet: Fleet, number: int) -> bool:
+    """Returns whether every entry says that every agent has a ticket in force."""
+    for entry in fleet.entries:
+        reply = entry.caller.get_ticket(number)
+        if reply.status != 200 or len(reply.body["in_force"]) != len(fleet.agents):
+            return False
+    return True
+
+
+class TicketTest(FleetTestCase):
+    def judge_never_reverts(self, fleet: Fleet) -> None:
+        """Checks that no object was ever written by a lower number."""
+        for older, newer in pairwise(list_documents(fleet)):
+            for name, (ticket, _) in older["teams"].items():
+                self.assertLessEqual(ticket, newer["teams"][name][0])
+
+    def test_operators_race_through_both_entries(self) -> None:
+        fleet = self.start_fleet()
+        calls = {
+            number: self.begin(
+                lambda number=number: fleet.entries[  # type: ignore[misc]
+                    number % 2
+                ].caller.submit_ticket(number, make_ticket(number))
+            )
+            for number in RACED_TICKETS
+        }
+        accepted = []
+        for number, call in calls.items():
+            reply = call.result()
+            if reply.status == 200:
+                accepted.append(number)
+            else:
+                self.assertEqual((409, "superseded"), (reply.status, reply.kind))
+        last = max(RACED_TICKETS)
+        self.assertIn(last, accepted)
+        self.judge_never_reverts(fleet)
+        teams = list_documents(fleet)[-1]["teams"]
+        self.assertEqual(
+            {team: [last, {"quota": float(last)}] for team in TEAMS}, teams
+        )
+        fleet.wait_until(
+            lambda: is_in_force(fleet, last), "the last ticket", IN_FORCE_S
+        )
+        for entry in fleet.entries:
+            lower = entry.caller.submit_ticket(last - 1, make_ticket(last - 1))
+            self.assertEqual((409, "superseded"), (lower.status, lower.kind))
+            self.assertIn(f"ticket {last} ", lower.body["error"]["message"])
+            again = entry.caller.submit_ticket(last, make_ticket(last))
+            self.assertEqual(200, again.status, again)
+        self.assertEqual(teams, list_documents(fleet)[-1]["teams"])
+
+    def test_lost_answer_of_the_write_and_silent_watches(self) -> None:
+        fleet = self.start_fleet()
+        fleet.control(fleet.store_url, lose_answers=1, silence_watches=True)
+        reply = fleet.entries[0].caller.submit_ticket(2, make_ticket(2))
+        self.assertEqual(200, reply.status, reply)
+        fleet.wait_until(lambda: is_in_force(fleet, 2), "the ticket", IN_FORCE_S)
+        fleet.control(fleet.store_url, compact=0, silence_watches=True)
+        reply = fleet.entries[1].caller.submit_ticket(3, make_ticket(3))
+        self.assertEqual(200, reply.status, reply)
+        fleet.wait_until(lambda: is_in_force(fleet, 3), "the ticket", IN_FORCE_S)
+        self.judge_never_reverts(fleet)
+
+    def test_entry_starts_in_an_outage_of_the_store(self) -> None:
+        fleet = self.start_fleet()
+        first, second = fleet.entries
+        fleet.control(fleet.store_url, down="refuse")
+        second.process.restart()
+        self.judge_done(
+            first.caller.post_job(make_job(SERVICE, make_payloads(24))),
+            make_payloads(24),
+        )
+        job_id = first.caller.take_ids(SERVICE, 1)[0]
+        url = f"{second.caller.url}/v1/metrics"
+        fleet.wait_until(lambda: fleet.answers(url), "the entry to listen")
+        reply = second.caller.put_job(job_id, make_job(SERVICE, make_payloads(24)))
+        self.judge_whole_or_not_done(reply, make_payloads(24))
+        if reply.outcome == "not_run":
+            self.assertEqual("not_run", first.caller.get_job(job_id).outcome)
+        fleet.control(fleet.store_url, down="")
+        fleet.wait_until(fleet.is_healthy, "the entry to be ready", IN_FORCE_S)
+        self.judge_works(fleet)
+        self.judge_starts(fleet)
+
+
+class LaggingEntryTest(FleetTestCase):
+    def test_entry_that_has_not_heard_of_a_service_tells_no_lie(self) -> None:
+        fleet = self.start_fleet(proxied=True, services=f"{SERVICE},{LATER_SERVICE}")
+        first, second = fleet.entries
+        fleet.control(fleet.store_url, silence_watches=True)
+        for entry, other in ((first, second), (second, first)):
+            assert entry.proxy is not None
+            entry.proxy.set_fault(Fault(silent=True), other.host)
+        ticket: dict[str, Any] = {"services": {LATER_SERVICE: {}}}
+        self.assertEqual(200, first.caller.submit_ticket(2, ticket).status)
+        fleet.control(fleet.store_url, delay_ms=STORE_DELAY_MS)
+        job = make_job(LATER_SERVICE, make_payloads(24))
+        job_id = first.caller.take_ids(LATER_SERVICE, 1)[0]
+        self.judge_done(first.caller.put_job(job_id, job), make_payloads(24))
+        reply = second.caller.put_job(job_id, job)
+        self.assertNotEqual("not_run", reply.outcome, reply)
+        self.judge_whole_or_not_done(reply, make_payloads(24))
+
+
+def make_ticket(number: int) -> dict[str, Any]:
+    """Returns a ticket that sets the quota of each team to its number."""
+    return {"teams": {team: {"quota": number} for team in TEAMS}}
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -91,6 +91,7 @@
         entries: Number of entries.
         slots: Slots of each target.
         proxied: Whether peers dial each link through a proxy.
+        services: Services of each target; the first ticket sets up just ``SERVICE``.
     """
 
     def __init__(
@@ -100,12 +101,14 @@
         entries: int = 2,
         slots: int = 8,
         proxied: bool = False,
+        services: str = SERVICE,
     ) -> None:
         self.zones = [f"west-{number + 1}" for number in range(zones)]
         self.agents_per_zone = agents_per_zone
         self.entry_count = entries
         self.slots = slots
         self.proxied = proxied
+        self.services = services
         self.agents: list[AgentProcess] = []
         self.entries: list[EntryProcess] = []
         self.processes: list[ManagedProcess] = []
@@ -164,7 +167,7 @@
             *("jackdawkeel", "agent", "--link", link, "--advertise", advertised),
             *("--store", self.store_url, "--availability-zone", zone),
             *("--rack", f"rack-{number // AGENTS_PER_RACK + 1}"),
-            *("--target", target.url, "--services", SERVICE),
+            *("--target", target.url, "--services", self.services),
             *("--slots", str(self.slots)),
         )
         return AgentProcess(process, host, advertised, zone, target, proxy)
