--- a/src/jackdawkeel/agent/routing.py
+++ b/src/jackdawkeel/agent/routing.py
@@ -56,7 +56,7 @@
         case HeartbeatReply():
             agent.apply_heartbeat_reply(sender, message)
         case WrongRecipient():
-            agent.entries.remove(message.wanted)
+            agent.entries.replace(message.wanted, sender)
             agent.dispatch.handle_gone(message.wanted)
         case _:
             name = type(message).__name__
--- a/src/jackdawkeel/controllers/entry_roster.py
+++ b/src/jackdawkeel/controllers/entry_roster.py
@@ -71,6 +71,11 @@
         """Forgets an entry whose process has ended."""
         self.entries.pop(incarnation, None)
 
+    def replace(self, incarnation: str, successor: PeerAddress) -> None:
+        """Takes it that another process listens at the address of an entry."""
+        if self.entries.pop(incarnation, None) is not None:
+            self.add([successor])
+
     def choose(self) -> list[KnownEntry]:
         """Returns the entries to report to, the most lately heard first."""
         now = self.clock()
