--- a/src/jackdawkeel/agent/daemon.py
+++ b/src/jackdawkeel/agent/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import signal
 from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING
@@ -41,10 +42,12 @@
     from ..messages import HeartbeatReply
     from ..messages import Message
     from ..settings import AgentSettings
+    from ..target.client import TargetResult
 
 
 TICK_S = 0.05
 HEARTBEAT_S = 1.0
+HEARTBEAT_WITHOUT_LEASE_S = 0.3
 HEARTBEAT_JITTER = 0.1
 STORE_READ_MIN_S = 1.0
 STORE_READ_MAX_S = 30.0
@@ -95,6 +98,7 @@
             ),
             self.clock,
             self.configuration.is_zone_in_service,
+            lambda: self.execution.count_held_for_others(self.address.incarnation),
         )
         self.execution = ExecutionController(
             slots=settings.slots,
@@ -156,7 +160,12 @@
             permit_expires_at,
             timeout_s,
         )
-        self.loop.call_soon_threadsafe(self.execution.handle_result, record, result)
+        self.loop.call_soon_threadsafe(self.end_task, record, result)
+
+    def end_task(self, record: TaskRecord, result: TargetResult) -> None:
+        """Reports a task that has ended, and fills the slot it leaves."""
+        self.execution.handle_result(record, result)
+        self.dispatch.dispatch_ready()
 
     def apply_heartbeat_reply(self, sender: PeerAddress, reply: HeartbeatReply) -> None:
         """Takes configuration, lease, entries and peers from an entry."""
@@ -232,7 +241,9 @@
                 self.node.redial(entry.address.link)
             self.send_heartbeats()
             self.node.close_idle_links()
-            await asyncio.sleep(spread(HEARTBEAT_S, HEARTBEAT_JITTER))
+            has_lease = self.configuration.has_lease()
+            interval_s = HEARTBEAT_S if has_lease else HEARTBEAT_WITHOUT_LEASE_S
+            await asyncio.sleep(spread(interval_s, HEARTBEAT_JITTER))
 
     async def _read_entries(self) -> None:
         found = await self.loop.run_in_executor(None, list_entries, self.store)
@@ -247,11 +258,12 @@
 
 def run_agent(settings: AgentSettings) -> int:
     """Runs an agent until it is told to stop; returns the exit code."""
-    incarnation = mint_incarnation()
-    log = EventLog("agent", incarnation, settings.availability_zone)
-    log.record(EventName.PROCESS_STARTED, link=settings.link)
-    asyncio.run(_run(settings, log))
-    log.record(EventName.PROCESS_STOPPED)
+    # A target's malformed response is reported by the task; urllib3 also prints it.
+    logging.getLogger("urllib3").setLevel(logging.CRITICAL)
+    with EventLog("agent", mint_incarnation(), settings.availability_zone) as log:
+        log.record(EventName.PROCESS_STARTED, link=settings.link)
+        asyncio.run(_run(settings, log))
+        log.record(EventName.PROCESS_STOPPED)
     return 0
 
 
