--- a/src/jackdawkeel/entry/other_entries.py
+++ b/src/jackdawkeel/entry/other_entries.py
@@ -29,6 +29,7 @@
 
 
 ANSWER_WAIT_S = 0.5
+HEARD_KEPT_S = 5.0
 REDIAL_AFTER_S = 2.5
 
 
@@ -68,6 +69,7 @@
         self.send = send
         self.redial = redial
         self.addresses: list[PeerAddress] = []
+        self.heard: dict[PeerAddress, float] = {}
         self.replied_at: dict[str, float] = {}
         self.redial_at: dict[str, float] = {}
         self.finding: dict[str, list[asyncio.Future[PeerAddress | None]]] = {}
@@ -75,8 +77,18 @@
         self.next_query = 1
 
     def set_addresses(self, addresses: list[PeerAddress]) -> None:
-        """Takes the live entries as the store lists them."""
-        self.addresses = [address for address in addresses if address != self.own]
+        """Takes the live entries as the store lists them.
+
+        Those that were heard lately stay, as the store may be down and the list old.
+        """
+        heard_since = self.clock() - HEARD_KEPT_S
+        self.heard = {
+            address: heard_at
+            for address, heard_at in self.heard.items()
+            if heard_at >= heard_since
+        }
+        merged = dict.fromkeys([*addresses, *self.heard])
+        self.addresses = [address for address in merged if address != self.own]
         known = {address.incarnation for address in self.addresses}
         for incarnation in known:
             self.redial_at.setdefault(incarnation, self.clock() + REDIAL_AFTER_S)
@@ -98,6 +110,7 @@
 
     def handle_probe(self, sender: PeerAddress, message: EntryProbe) -> None:
         """Answers with this entry's configuration and when it was confirmed."""
+        self.heard[sender] = self.clock()
         record_entry_demand(self.quotas, sender.incarnation, message.demand)
         configuration = self.configuration
         is_newer = configuration.revision > message.revision
@@ -111,6 +124,7 @@
 
     def handle_probe_reply(self, sender: PeerAddress, message: EntryProbeReply) -> None:
         """Takes another entry's configuration and when the store confirmed it."""
+        self.heard[sender] = self.clock()
         self.replied_at[sender.incarnation] = self.clock()
         self.redial_at[sender.incarnation] = self.clock() + REDIAL_AFTER_S
         if message.confirmed_age_ms < 0:
--- a/src/jackdawkeel/entry/store_sync.py
+++ b/src/jackdawkeel/entry/store_sync.py
@@ -30,6 +30,7 @@
 
 
 CONFIRM_INTERVAL_S = 0.7
+CONFIRM_TIMEOUT_S = 0.8
 ENTRIES_INTERVAL_S = 3.0
 WATCH_RETRY_S = 0.5
 STORE_THREADS = 8
@@ -95,24 +96,37 @@
             await asyncio.sleep(CONFIRM_INTERVAL_S)
 
     async def confirm(self) -> None:
-        """Reads the configuration once, as a confirmation from now."""
+        """Reads the configuration once, as a confirmation from now.
+
+        A slow read counts as failed once some version is known: confirmations that
+        come later than the leases last would stop all work, which no outage may.
+        """
         sent_at = self.clock()
-        read = await self.loop.run_in_executor(
+        waiting = self.loop.run_in_executor(
             self.threads, self.store.get, CONFIGURATION_KEY
         )
+        ended, _ = await asyncio.wait([waiting], timeout=CONFIRM_TIMEOUT_S)
+        if not ended:
+            self._note_failed_read(sent_at)
+        read = await waiting
         self.metrics.observe(HistogramName.STORE_CALL, self.clock() - sent_at, "range")
         if read.is_err():
-            self.configuration.record_failed_read(sent_at, self.clock())
-            self._note_reached(False)
-            self.on_failed_read()
+            self._note_failed_read(sent_at)
             return
         reading = read.unwrap()
         if reading.item is not None:
             self.apply(reading.item.mod_revision, reading.item.value)
+        if not ended and self.configuration.is_ready():
+            return
         revision = reading.item.mod_revision if reading.item is not None else 0
         self.configuration.record_confirmation(sent_at, revision)
         self._note_reached(True)
 
+    def _note_failed_read(self, sent_at: float) -> None:
+        self.configuration.record_failed_read(sent_at, self.clock())
+        self._note_reached(False)
+        self.on_failed_read()
+
     def apply(self, revision: int, encoded: bytes) -> None:
         """Applies a configuration if it is newer than the one in force."""
         applied = self.configuration.apply(revision, encoded)
