--- a/tests/integration/steady_load.py
+++ b/tests/integration/steady_load.py
@@ -97,8 +97,10 @@
             thread.join()
 
     def count_outcomes(self) -> Counter[str]:
-        """Returns how many jobs ended with each outcome."""
-        return Counter(job.replies[-1].outcome for job in self.jobs if job.replies)
+        """Returns how many jobs ended with each outcome or kind of error."""
+        return Counter(
+            job.replies[-1].kind_or_outcome for job in self.jobs if job.replies
+        )
 
     def count_done_since(self, moment: float) -> int:
         """Returns the number of tasks of jobs that were done after a moment."""
--- a/tests/integration/test_starts_at_most_once.py
+++ b/tests/integration/test_starts_at_most_once.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from itertools import pairwise
+from typing import TYPE_CHECKING
+
 from urllib3.exceptions import HTTPError
 
 from tests.integration.fleet_test_case import FleetTestCase
@@ -14,10 +17,15 @@
 from tests.standins.proxy import Fault
 
 
+if TYPE_CHECKING:
+    from tests.standins.caller import Caller
+
+
 TASKS = 120
 PAYLOADS = make_payloads(TASKS, sleep_ms=200)
 JOB = make_job(SERVICE, PAYLOADS)
 LATE_S = 3.0
+IDS = 64
 
 
 class EntryTest(FleetTestCase):
@@ -167,20 +175,33 @@
     def test_dispatch_arrives_after_it_was_said_not_to_have_started(self) -> None:
         fleet = self.start_fleet(proxied=True)
         caller = fleet.entries[0].caller
-        job_id = caller.take_ids(SERVICE, 1)[0]
+        warm_up_id, job_id = take_ids_of_one_home(caller)
         home = find_home(fleet, job_id)
-        for peer in find_others(fleet, home):
-            assert peer.proxy is not None
-            peer.proxy.set_fault(Fault(delay_s=LATE_S), home.host)
+        self.judge_done(caller.put_job(warm_up_id, JOB), PAYLOADS)
+        proxies = [
+            peer.proxy for peer in find_others(fleet, home) if peer.proxy is not None
+        ]
+        for proxy in proxies:
+            proxy.set_fault(Fault(delay_s=LATE_S), home.host)
         call = self.begin(lambda: caller.put_job(job_id, JOB))
-        self.wait_for_starts(fleet, job_id, 1)
-        for peer in find_others(fleet, home):
-            assert peer.proxy is not None
-            peer.proxy.set_fault(NO_FAULT, home.host)
+        fleet.wait_until(
+            lambda: all(proxy.delayed for proxy in proxies),
+            "the dispatches to be under way",
+        )
+        for proxy in proxies:
+            proxy.set_fault(NO_FAULT, home.host)
         self.judge_done(call.result(), PAYLOADS)
         fleet.wait_until(
-            lambda: not any(proxy.delayed for proxy in fleet.proxies()),
+            lambda: not any(proxy.delayed for proxy in proxies),
             "the late dispatches to arrive",
         )
         self.judge_works(fleet)
         self.judge_starts(fleet)
+
+
+def take_ids_of_one_home(caller: Caller) -> tuple[str, str]:
+    """Returns two job ids that name the same home."""
+    ids = sorted(caller.take_ids(SERVICE, IDS))
+    return next(
+        (first, second) for first, second in pairwise(ids) if first[:16] == second[:16]
+    )
--- a/tests/integration/test_zone_out_of_service.py
+++ b/tests/integration/test_zone_out_of_service.py
@@ -7,7 +7,11 @@
 from typing import TYPE_CHECKING
 
 from tests.integration.fleet_test_case import FleetTestCase
+from tests.integration.fleet_test_case import find_home
+from tests.integration.fleet_test_case import make_payloads
 from tests.integration.steady_load import SteadyLoad
+from tests.standins.caller import make_job
+from tests.standins.fleet import SERVICE
 from tests.standins.proxy import Fault
 
 
@@ -22,6 +26,8 @@
 WATCHED_S = 2.0
 OUT_TICKET = 2
 IN_TICKET = 3
+LONG_PAYLOADS = make_payloads(240, sleep_ms=600)
+LONG_JOB = make_job(SERVICE, LONG_PAYLOADS)
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,11 +91,14 @@
     def judge_zone(self, row: ZoneFault) -> None:
         """Takes a zone out under load and a fault, then back in."""
         fleet = self.start_fleet(proxied=True)
-        agent = fleet.agents[0]
-        zone = agent.availability_zone
         operator = fleet.entries[0].caller
+        job_id = operator.take_ids(SERVICE, 1)[0]
+        agent = find_home(fleet, job_id)
+        zone = agent.availability_zone
         with SteadyLoad(fleet) as load:
             fleet.wait_until(lambda: has_start(fleet, agent, 0.0), "work in the zone")
+            call = self.begin(lambda: operator.put_job(job_id, LONG_JOB))
+            self.wait_for_starts(fleet, job_id, 1)
             row.begin(fleet, agent)
             ticket = {"availability_zones": {zone: {"in_service": False}}}
             reply = operator.submit_ticket(OUT_TICKET, ticket)
@@ -112,6 +121,7 @@
                 GRACE_S,
             )
         print(f"{row.name}: {dict(load.count_outcomes())}")
+        self.judge_whole_or_not_done(call.result(), LONG_PAYLOADS)
         self.judge_load(fleet, load)
         self.judge_works(fleet)
 
--- a/tests/standins/caller.py
+++ b/tests/standins/caller.py
@@ -42,6 +42,11 @@
         """The kind of the error in the body."""
         return str(self.body["error"]["kind"])
 
+    @property
+    def kind_or_outcome(self) -> str:
+        """The kind of the error if there is one, else the outcome."""
+        return self.kind if "error" in self.body else self.outcome
+
 
 class Caller:
     """Calls one entry; each method raises ``urllib3.exceptions.HTTPError``.
