--- a/tests/controllers/__init__.py
+++ b/tests/controllers/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the package ``controllers``."""
+"""Tests of the controllers."""
