--- a/tests/controllers/test_dispatch.py
+++ b/tests/controllers/test_dispatch.py
@@ -10,6 +10,7 @@
 from jackdawkeel.controllers.peers import QUEUE_ALLOWANCE
 from jackdawkeel.controllers.peers import PeerController
 from jackdawkeel.controllers.silence import GONE_AFTER_S
+from jackdawkeel.messages import AgentLeaving
 from jackdawkeel.messages import CancelTasks
 from jackdawkeel.messages import DispatchTasks
 from jackdawkeel.messages import PeerAddress
@@ -215,6 +216,25 @@
         error = self.answers["job"].error
         self.assertEqual(error and error.kind, "task_unknown")
 
+    def test_agent_that_has_left_hands_back_what_never_started(self) -> None:
+        self.submit(4)
+        near = [out for out in self.take_out() if out.peer == NEAR]
+        self.dispatch.handle_leaving(NEAR, AgentLeaving(False, []))
+        self.assertEqual([], self.take_out())
+        self.dispatch.handle_leaving(NEAR, AgentLeaving(True, []))
+        again = self.take_out()
+        self.assertEqual({out.index for out in near}, {out.index for out in again})
+        self.assertNotIn(NEAR, [out.peer for out in again])
+        self.assertEqual({}, self.answers)
+
+    def test_agent_that_has_left_with_a_started_task(self) -> None:
+        self.submit(4)
+        near = [out for out in self.take_out() if out.peer == NEAR]
+        self.dispatch.handle_leaving(NEAR, AgentLeaving(True, [near[0].number]))
+        error = self.answers["job"].error
+        assert error is not None
+        self.assertEqual(error.kind, "task_unknown")
+
     def test_pause_of_the_home_does_not_give_peers_up(self) -> None:
         self.submit(3)
         self.take_out()
