--- a/src/jackdawkeel/entry/jobs.py
+++ b/src/jackdawkeel/entry/jobs.py
@@ -168,9 +168,13 @@
         key,
         str(minted),
     )
-    if claimed.is_err():
-        return answer_error(None, claimed.unwrap_err())
-    return await _submit(entry, claimed.unwrap(), request, None)
+    if claimed.is_ok():
+        entry.known_keys.learn(key, claimed.unwrap())
+        return await _submit(entry, claimed.unwrap(), request, None)
+    known = entry.known_keys.find(key) or await entry.others.find_key(key)
+    if known is not None:
+        return await _submit(entry, known, request, None)
+    return answer_error(None, claimed.unwrap_err())
 
 
 async def _has_never_existed(entry: Entry, service: str) -> bool:
--- a/src/jackdawkeel/entry/other_entries.py
+++ b/src/jackdawkeel/entry/other_entries.py
@@ -10,7 +10,9 @@
 from ..messages import EntryProbe
 from ..messages import EntryProbeReply
 from ..messages import FindHome
+from ..messages import FindKey
 from ..messages import HomeFound
+from ..messages import KeyFound
 from ..messages import PeerAddress
 from ..policy.quota import forget_entry
 from ..policy.quota import own_demand
@@ -22,6 +24,7 @@
 
     from ..clock import Clock
     from ..controllers.configuration import ConfigurationController
+    from ..controllers.known_keys import KnownKeysController
     from ..controllers.roster import RosterController
     from ..messages import AgentSighting
     from ..messages import Message
@@ -29,6 +32,8 @@
 
 
 ANSWER_WAIT_S = 0.5
+FIND_WAIT_S = 1.0
+HEARD_KEPT_S = 5.0
 REDIAL_AFTER_S = 2.5
 
 
@@ -43,6 +48,7 @@
         configuration: ConfigurationController,
         roster: RosterController,
         quotas: QuotaState,
+        known_keys: KnownKeysController,
         send: Callable[[PeerAddress, Message], None],
         redial: Callable[[str], None],
         apply: Callable[[int, bytes], None],
@@ -55,6 +61,7 @@
             configuration: This entry's configuration.
             roster: The agents that this entry hears.
             quotas: What this entry knows of the demand of teams.
+            known_keys: Callers' keys that this entry has seen claimed.
             send: Sends a message to a process.
             redial: Replaces the connection to a link address.
             apply: Applies a configuration if it is newer than the one in force.
@@ -65,18 +72,30 @@
         self.configuration = configuration
         self.roster = roster
         self.quotas = quotas
+        self.known_keys = known_keys
         self.send = send
         self.redial = redial
         self.addresses: list[PeerAddress] = []
+        self.heard: dict[PeerAddress, float] = {}
         self.replied_at: dict[str, float] = {}
         self.redial_at: dict[str, float] = {}
-        self.finding: dict[str, list[asyncio.Future[PeerAddress | None]]] = {}
+        self.asking: dict[str, list[asyncio.Future[str]]] = {}
         self.listing: dict[int, asyncio.Queue[AgentsReply]] = {}
         self.next_query = 1
 
     def set_addresses(self, addresses: list[PeerAddress]) -> None:
-        """Takes the live entries as the store lists them."""
-        self.addresses = [address for address in addresses if address != self.own]
+        """Takes the live entries as the store lists them.
+
+        Those that were heard lately stay, as the store may be down and the list old.
+        """
+        heard_since = self.clock() - HEARD_KEPT_S
+        self.heard = {
+            address: heard_at
+            for address, heard_at in self.heard.items()
+            if heard_at >= heard_since
+        }
+        merged = dict.fromkeys([*addresses, *self.heard])
+        self.addresses = [address for address in merged if address != self.own]
         known = {address.incarnation for address in self.addresses}
         for incarnation in known:
             self.redial_at.setdefault(incarnation, self.clock() + REDIAL_AFTER_S)
@@ -98,6 +117,7 @@
 
     def handle_probe(self, sender: PeerAddress, message: EntryProbe) -> None:
         """Answers with this entry's configuration and when it was confirmed."""
+        self.heard[sender] = self.clock()
         record_entry_demand(self.quotas, sender.incarnation, message.demand)
         configuration = self.configuration
         is_newer = configuration.revision > message.revision
@@ -111,6 +131,7 @@
 
     def handle_probe_reply(self, sender: PeerAddress, message: EntryProbeReply) -> None:
         """Takes another entry's configuration and when the store confirmed it."""
+        self.heard[sender] = self.clock()
         self.replied_at[sender.incarnation] = self.clock()
         self.redial_at[sender.incarnation] = self.clock() + REDIAL_AFTER_S
         if message.confirmed_age_ms < 0:
@@ -123,18 +144,12 @@
 
     async def find_home(self, incarnation: str) -> PeerAddress | None:
         """Asks where an incarnation listens; None if no entry hears it."""
-        if not self.addresses:
-            return None
-        future = asyncio.get_running_loop().create_future()
-        self.finding.setdefault(incarnation, []).append(future)
-        for address in self.addresses:
-            self.send(address, FindHome(incarnation))
-        try:
-            return await asyncio.wait_for(future, ANSWER_WAIT_S)
-        except TimeoutError:
-            return None
-        finally:
-            self._forget_finding(incarnation, future)
+        link = await self._ask_first(FindHome(incarnation), incarnation)
+        return None if link is None else PeerAddress(incarnation, link)
+
+    async def find_key(self, key: str) -> str | None:
+        """Asks which job id a caller's key stands for; None if no entry knows."""
+        return await self._ask_first(FindKey(key), key)
 
     def handle_find_home(self, sender: PeerAddress, message: FindHome) -> None:
         """Answers where an incarnation listens, if this entry hears it."""
@@ -142,14 +157,32 @@
         link = None if view is None else view.address.link
         self.send(sender, HomeFound(message.incarnation, link))
 
-    def handle_home_found(self, message: HomeFound) -> None:
-        """Takes the first answer that names a link."""
-        if message.link is None:
+    def handle_find_key(self, sender: PeerAddress, message: FindKey) -> None:
+        """Answers which job id a key stands for, if this entry knows."""
+        job_id = self.known_keys.find(message.key)
+        self.send(sender, KeyFound(message.key, job_id))
+
+    def handle_found(self, asked: str, answer: str | None) -> None:
+        """Takes the first answer that tells something."""
+        if answer is None:
             return
-        address = PeerAddress(message.incarnation, message.link)
-        for future in self.finding.get(message.incarnation, []):
+        for future in self.asking.get(asked, []):
             if not future.done():
-                future.set_result(address)
+                future.set_result(answer)
+
+    async def _ask_first(self, message: FindHome | FindKey, asked: str) -> str | None:
+        if not self.addresses:
+            return None
+        future: asyncio.Future[str] = asyncio.get_running_loop().create_future()
+        self.asking.setdefault(asked, []).append(future)
+        for address in self.addresses:
+            self.send(address, message)
+        try:
+            return await asyncio.wait_for(future, FIND_WAIT_S)
+        except TimeoutError:
+            return None
+        finally:
+            self._forget_question(asked, future)
 
     async def list_sightings(self) -> list[AgentSighting]:
         """Returns the agents that this entry or any other hears, freshest first."""
@@ -192,10 +225,8 @@
             del self.listing[query]
         return replies
 
-    def _forget_finding(
-        self, incarnation: str, future: asyncio.Future[PeerAddress | None]
-    ) -> None:
-        futures = self.finding[incarnation]
+    def _forget_question(self, asked: str, future: asyncio.Future[str]) -> None:
+        futures = self.asking[asked]
         futures.remove(future)
         if not futures:
-            del self.finding[incarnation]
+            del self.asking[asked]
--- a/src/jackdawkeel/entry/store_sync.py
+++ b/src/jackdawkeel/entry/store_sync.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING
 from typing import Self
@@ -31,6 +32,8 @@
 
 CONFIRM_INTERVAL_S = 0.7
 ENTRIES_INTERVAL_S = 3.0
+FIRST_ENTRIES_INTERVAL_S = 0.5
+FIRST_ENTRIES_ROUNDS = 10
 WATCH_RETRY_S = 0.5
 STORE_THREADS = 8
 MAX_READS_AT_ONCE = 3
@@ -113,9 +116,7 @@
         )
         self.metrics.observe(HistogramName.STORE_CALL, self.clock() - sent_at, "range")
         if read.is_err():
-            self.configuration.record_failed_read(sent_at, self.clock())
-            self._note_reached(False)
-            self.on_failed_read()
+            self._note_failed_read(sent_at)
             return
         reading = read.unwrap()
         self.read_revision = max(self.read_revision, reading.revision)
@@ -125,6 +126,11 @@
         self.configuration.record_confirmation(sent_at, revision)
         self._note_reached(True)
 
+    def _note_failed_read(self, sent_at: float) -> None:
+        self.configuration.record_failed_read(sent_at, self.clock())
+        self._note_reached(False)
+        self.on_failed_read()
+
     def apply(self, revision: int, encoded: bytes) -> None:
         """Applies a configuration if it is newer than the one in force."""
         applied = self.configuration.apply(revision, encoded)
@@ -164,14 +170,17 @@
                 self.apply(change.mod_revision, change.value)
 
     async def _keep_entries_forever(self) -> None:
-        while True:
+        for rounds in itertools.count():
             await self._keep_lease()
             found = await self.loop.run_in_executor(
                 self.threads, list_entries, self.store
             )
             if found.is_ok():
                 self.entries = found.unwrap()
-            await asyncio.sleep(ENTRIES_INTERVAL_S)
+            # Entries that start together learn of each other at once.
+            is_young = rounds < FIRST_ENTRIES_ROUNDS
+            interval_s = FIRST_ENTRIES_INTERVAL_S if is_young else ENTRIES_INTERVAL_S
+            await asyncio.sleep(interval_s)
 
     async def _keep_lease(self) -> None:
         run = self.loop.run_in_executor
--- a/src/jackdawkeel/messages.py
+++ b/src/jackdawkeel/messages.py
@@ -359,6 +359,19 @@
     unsettled: list[int]
 
 
+class FindKey(msgspec.Struct, frozen=True, array_like=True, tag=21):
+    """From an entry to an entry: which job id it knows a caller's key to stand for."""
+
+    key: str
+
+
+class KeyFound(msgspec.Struct, frozen=True, array_like=True, tag=22):
+    """From an entry to an entry: the job id of a key, if known."""
+
+    key: str
+    job_id: str | None
+
+
 Message = (
     Heartbeat
     | HeartbeatReply
@@ -380,6 +393,8 @@
     | FindHome
     | HomeFound
     | AgentLeaving
+    | FindKey
+    | KeyFound
 )
 
 
