--- a/src/jackdawkeel/controllers/dispatch.py
+++ b/src/jackdawkeel/controllers/dispatch.py
@@ -16,13 +16,16 @@
 from ..messages import TaskDispatch
 from ..policy.admission_estimate import ServiceLoad
 from ..policy.hedging import take_hedge
+from ..policy.reserve import reserved_slots
 from ..policy.retry_budget import note_first_attempt
 from ..policy.retry_budget import take_second_attempt
 from ..task_state import TaskState
+from .busy_shares import BusyShares
 from .job import Dispatch
 from .job import Job
 from .service_stats import ServiceStats
 from .silence import SilenceController
+from .stragglers import find_stragglers
 
 
 if TYPE_CHECKING:
@@ -83,6 +86,7 @@
         self.dispatches: dict[int, Dispatch] = {}
         self.next_number = 1
         self.ticked_at = clock()
+        self.busy_shares = BusyShares(peers, self.ticked_at)
 
     def start_job(self, message: SubmitJob) -> None:
         """Takes an admitted job and dispatches what finds a place."""
@@ -173,7 +177,7 @@
     def dispatch_ready(self) -> None:
         """Sends waiting tasks, one job after the other, while there are places."""
         batches: dict[str, list[TaskDispatch]] = {}
-        blocked: set[str] = set()
+        blocked: set[tuple[str, int]] = set()
         idle_turns = 0
         while self.ready and idle_turns < len(self.ready):
             job = self.ready[0]
@@ -182,11 +186,12 @@
                 self.ready.pop()
                 continue
             peer = None
-            if job.service not in blocked:
+            reserved = self._reserve_slots(job)
+            if (job.service, reserved) not in blocked:
                 avoided = job.avoided.get(job.waiting[0])
-                peer = self.peers.choose(job.service, avoided)
+                peer = self.peers.choose(job.service, avoided, reserved=reserved)
             if peer is None:
-                blocked.add(job.service)
+                blocked.add((job.service, reserved))
                 idle_turns += 1
                 continue
             idle_turns = 0
@@ -197,6 +202,10 @@
         for incarnation, tasks in batches.items():
             self._send_batch(incarnation, tasks)
 
+    def _reserve_slots(self, job: Job) -> int:
+        busy_share = self.find_stats(job.service).busy_share
+        return reserved_slots(len(job.payloads), busy_share, self.peers.own_slots)
+
     def tick(self) -> None:
         """Ends jobs whose deadline has passed and asks silent agents."""
         now = self.clock()
@@ -204,6 +213,7 @@
         self.ticked_at = now
         if gap > MAX_CLOCK_GAP_S:
             self._shift_timers(gap)
+        self.busy_shares.update(self.services, now)
         for job in list(self.jobs.values()):
             if now >= job.expires_at:
                 self._end_early(
@@ -232,17 +242,20 @@
 
     def _hedge(self, job: Job, now: float) -> None:
         stats = self.find_stats(job.service)
-        for dispatch in list(job.outstanding.values()):
-            copies = sum(
-                other.index == dispatch.index for other in job.outstanding.values()
-            )
-            elapsed_ms = (now - dispatch.sent_at) * MS_PER_S
-            peer = self.peers.choose(job.service, dispatch.peer.incarnation)
-            if peer is None or peer is dispatch.peer:
-                continue
-            if take_hedge(True, copies, elapsed_ms, stats.run_time, stats.hedges):
-                task = self._open(job, dispatch.index, peer)
-                self._send_batch(peer.incarnation, [task])
+        for dispatch in find_stragglers(job, stats.run_time, now):
+            self._hedge_late(dispatch, stats, now)
+
+    def _hedge_late(self, dispatch: Dispatch, stats: ServiceStats, now: float) -> None:
+        job = dispatch.job
+        peer = self.peers.choose(
+            job.service, dispatch.peer.incarnation, queue_allowance=0
+        )
+        if peer is None or peer is dispatch.peer:
+            return
+        elapsed_ms = (now - dispatch.sent_at) * MS_PER_S
+        if take_hedge(True, 1, elapsed_ms, stats.run_time, stats.hedges):
+            task = self._open(job, dispatch.index, peer)
+            self._send_batch(peer.incarnation, [task])
 
     def find_stats(self, service: str) -> ServiceStats:
         """Returns what was learned of a service."""
@@ -255,8 +268,7 @@
         number = self.next_number
         self.next_number += 1
         now = self.clock()
-        is_copy = job.has_copy_out(index)
-        dispatch = Dispatch(number, job, index, peer, now, now, is_copy)
+        dispatch = Dispatch(number, job, index, peer, now, now)
         self.dispatches[number] = dispatch
         peer.outstanding[number] = dispatch
         job.outstanding[number] = dispatch
@@ -328,7 +340,7 @@
     def _is_wanted(self, dispatch: Dispatch) -> bool:
         job = dispatch.job
         has_result = job.results[dispatch.index] is not None
-        return not has_result and not job.has_copy_out(dispatch.index)
+        return not has_result and not job.count_copies_out(dispatch.index)
 
     def _retry_or_fail(self, dispatch: Dispatch, kind: ErrorKind, reason: str) -> None:
         job = dispatch.job
