--- a/src/jackdawkeel/entry/store_sync.py
+++ b/src/jackdawkeel/entry/store_sync.py
@@ -11,6 +11,7 @@
 from ..controllers.document import CONFIGURATION_KEY
 from ..events import EventName
 from ..metrics import HistogramName
+from ..periodic import restart_on_error
 from ..store.entries import ENTRY_LEASE_S
 from ..store.entries import announce_entry
 from ..store.entries import list_entries
@@ -35,6 +36,7 @@
 FIRST_ENTRIES_INTERVAL_S = 0.5
 FIRST_ENTRIES_ROUNDS = 10
 WATCH_RETRY_S = 0.5
+RESTART_DELAY_S = 1.0
 STORE_THREADS = 8
 MAX_READS_AT_ONCE = 3
 
@@ -81,10 +83,14 @@
     def __enter__(self) -> Self:
         self.loop = asyncio.get_running_loop()
         self.threads = ThreadPoolExecutor(STORE_THREADS, "store")
+        loops = [
+            self._confirm_forever,
+            self._watch_forever,
+            self._keep_entries_forever,
+        ]
         self.tasks = [
-            asyncio.create_task(self._confirm_forever()),
-            asyncio.create_task(self._watch_forever()),
-            asyncio.create_task(self._keep_entries_forever()),
+            asyncio.create_task(restart_on_error(loop, self.log, RESTART_DELAY_S))
+            for loop in loops
         ]
         return self
 
--- a/src/jackdawkeel/setting_values.py
+++ b/src/jackdawkeel/setting_values.py
@@ -86,6 +86,28 @@
     return text.rstrip("/")
 
 
+def parse_plain_url(text: str) -> str:
+    """Parses an HTTP URL without TLS, which daemons do not speak.
+
+    Raises:
+        SettingError: If it is no such URL.
+    """
+    url = parse_url(text)
+    if urlsplit(url).scheme != "http":
+        raise SettingError(f"must be an http URL, not {show_value(text)}")
+    return url
+
+
+def parse_plain_base_url(text: str) -> str:
+    """Parses an HTTP URL without TLS that has no path.
+
+    Raises:
+        SettingError: If it is no such URL.
+    """
+    parse_plain_url(text)
+    return parse_base_url(text)
+
+
 def parse_base_url(text: str) -> str:
     """Parses an HTTP URL that has no path.
 
