Split the messages by who sends them

It is a package now with a module each for agents, jobs, tasks, entries and the envelope; names are imported from the package as before.

--- /dev/null
+++ b/src/jackdawkeel/messages/envelope.py
@@ -0,0 +1,83 @@
+"""The envelope in which messages travel over a link, and the list of them."""
+
+from __future__ import annotations
+
+import msgspec
+
+from .address import PeerAddress
+from .agents import AgentLeaving
+from .agents import Heartbeat
+from .agents import HeartbeatReply
+from .entries import AgentsQuery
+from .entries import AgentsReply
+from .entries import EntryProbe
+from .entries import EntryProbeReply
+from .entries import FindHome
+from .entries import FindKey
+from .entries import HomeFound
+from .entries import KeyFound
+from .jobs import CancelJob
+from .jobs import JobAnswer
+from .jobs import JobNews
+from .jobs import JobQuery
+from .jobs import SubmitJob
+from .tasks import CancelTasks
+from .tasks import DispatchTasks
+from .tasks import SettleTasks
+from .tasks import TaskQuery
+from .tasks import TaskReports
+
+
+PROTOCOL_VERSION = 1
+
+
+class WrongRecipient(msgspec.Struct, frozen=True, array_like=True, tag=13):
+    """Answers mail for another incarnation than the one that listens here."""
+
+    wanted: str
+
+
+Message = (
+    Heartbeat
+    | HeartbeatReply
+    | SubmitJob
+    | JobAnswer
+    | JobQuery
+    | JobNews
+    | CancelJob
+    | DispatchTasks
+    | TaskQuery
+    | CancelTasks
+    | TaskReports
+    | SettleTasks
+    | WrongRecipient
+    | EntryProbe
+    | EntryProbeReply
+    | AgentsQuery
+    | AgentsReply
+    | FindHome
+    | HomeFound
+    | AgentLeaving
+    | FindKey
+    | KeyFound
+)
+
+
+class Envelope(msgspec.Struct, frozen=True, array_like=True):
+    """What travels over a link: messages of one sender for one recipient.
+
+    Attributes:
+        version: The protocol version.
+        sender: The sending process.
+        recipient: The incarnation that it is meant for; empty for any.
+        session: The sender's session with the recipient; grows with each redial.
+        redial: Whether the recipient must answer over a new connection.
+        messages: The messages, in order.
+    """
+
+    version: int
+    sender: PeerAddress
+    recipient: str
+    session: int
+    redial: bool
+    messages: list[Message]
