--- a/src/jackdawkeel/agent/daemon.py
+++ b/src/jackdawkeel/agent/daemon.py
@@ -29,6 +29,8 @@
 from ..store.entries import list_entries
 from ..store.etcd import EtcdStore
 from ..target.client import TargetClient
+from ..target.client import TargetResult
+from ..task_state import TaskState
 from .heartbeat import make_heartbeat
 from .home import Home
 from .leaving import announce_end
@@ -43,7 +45,6 @@
     from ..messages import HeartbeatReply
     from ..messages import Message
     from ..settings import AgentSettings
-    from ..target.client import TargetResult
 
 
 TICK_S = 0.05
@@ -70,15 +71,7 @@
         self.log = log
         self.clock = read_boot_clock
         self.address = PeerAddress(log.incarnation, settings.advertise)
-        self.description = AgentDescription(
-            address=self.address,
-            target=settings.target,
-            services=settings.services,
-            availability_zone=settings.availability_zone,
-            rack=settings.rack,
-            slots=settings.slots,
-            connections=settings.connections,
-        )
+        self.description = self._describe()
         self.loop = asyncio.get_running_loop()
         self.configuration = AgentConfigurationController(
             settings.availability_zone, self.clock
@@ -91,50 +84,73 @@
             log=log,
             deliver=self.deliver,
         )
-        self.peers = PeerController(
+        self.peers = self._make_peers()
+        self.execution = self._make_execution()
+        self.dispatch = self._make_dispatch()
+        self.admission = AdmissionController(self.address.incarnation, self.clock)
+        self.home = self._make_home()
+        self.target = TargetClient(settings.target, settings.connections, self.clock)
+        self.threads = ThreadPoolExecutor(settings.slots, "target")
+        self.store = EtcdStore(settings.store)
+        self.store_reads = Backoff(
+            STORE_READ_MIN_S, STORE_READ_MAX_S, STORE_READ_FIRST_DELAY_S, self.clock
+        )
+        self.stopped = asyncio.Event()
+        self.had_lease = False
+
+    def _describe(self) -> AgentDescription:
+        return AgentDescription(
+            address=self.address,
+            target=self.settings.target,
+            services=self.settings.services,
+            availability_zone=self.settings.availability_zone,
+            rack=self.settings.rack,
+            slots=self.settings.slots,
+            connections=self.settings.connections,
+        )
+
+    def _make_peers(self) -> PeerController:
+        return PeerController(
             PeerStatus(
                 self.address,
-                settings.services,
-                settings.availability_zone,
-                settings.slots,
+                self.settings.services,
+                self.settings.availability_zone,
+                self.settings.slots,
             ),
             self.clock,
             self.configuration.is_zone_in_service,
             lambda: self.execution.count_held_for_others(self.address.incarnation),
         )
-        self.execution = ExecutionController(
-            slots=settings.slots,
-            queue_limit=settings.slots * QUEUE_LIMIT_PER_SLOT,
+
+    def _make_execution(self) -> ExecutionController:
+        return ExecutionController(
+            slots=self.settings.slots,
+            queue_limit=self.settings.slots * QUEUE_LIMIT_PER_SLOT,
             clock=self.clock,
-            log=log,
+            log=self.log,
             send=self.node.send,
             start=self.start_task,
             find_start_refusal=self.configuration.find_start_refusal,
         )
-        self.dispatch = DispatchController(
+
+    def _make_dispatch(self) -> DispatchController:
+        return DispatchController(
             clock=self.clock,
-            log=log,
+            log=self.log,
             peers=self.peers,
             send=self.node.send,
             redial=self.node.redial,
             finish=self.finish_job,
         )
-        self.admission = AdmissionController(self.address.incarnation, self.clock)
-        self.home = Home(
+
+    def _make_home(self) -> Home:
+        return Home(
             admission=self.admission,
             dispatch=self.dispatch,
-            log=log,
+            log=self.log,
             send=self.node.send,
             find_job_refusal=lambda message: find_job_refusal(self, message),
         )
-        self.target = TargetClient(settings.target, settings.connections, self.clock)
-        self.threads = ThreadPoolExecutor(settings.slots, "target")
-        self.store = EtcdStore(settings.store)
-        self.store_reads = Backoff(
-            STORE_READ_MIN_S, STORE_READ_MAX_S, STORE_READ_FIRST_DELAY_S, self.clock
-        )
-        self.stopped = asyncio.Event()
-        self.had_lease = False
 
     def deliver(self, sender: PeerAddress, message: Message) -> None:
         """Takes one message from the link."""
@@ -153,18 +169,27 @@
         self.threads.submit(self._run_task, record, permit_expires_at)
 
     def _run_task(self, record: TaskRecord, permit_expires_at: float) -> None:
+        try:
+            result = self._call_target(record, permit_expires_at)
+        except Exception:
+            self.log.record_exception(f"calling the target for {record.task.job_id}")
+            reason = "the agent failed while it called the target"
+            result = TargetResult(TaskState.UNKNOWN, b"", reason, 0.0)
+        self.loop.call_soon_threadsafe(self.end_task, record, result)
+
+    def _call_target(
+        self, record: TaskRecord, permit_expires_at: float
+    ) -> TargetResult:
         task = record.task
         remaining_s = max(0.0, record.expires_at - self.clock())
-        timeout_s = min(MAX_TASK_S, remaining_s + TASK_GRACE_S)
-        result = self.target.call(
+        return self.target.call(
             task.job_id,
             task.index,
             task.service,
             task.payload,
             permit_expires_at,
-            timeout_s,
+            min(MAX_TASK_S, remaining_s + TASK_GRACE_S),
         )
-        self.loop.call_soon_threadsafe(self.end_task, record, result)
 
     def end_task(self, record: TaskRecord, result: TargetResult) -> None:
         """Reports a task that has ended, and fills the slot it leaves."""
--- a/src/jackdawkeel/entry/daemon.py
+++ b/src/jackdawkeel/entry/daemon.py
@@ -82,7 +82,19 @@
             redial=self.node.redial,
             adjust_forwarded=self._adjust_forwarded,
         )
-        self.others = OtherEntries(
+        self.others = self._make_others()
+        self.metrics = Metrics({"availability_zone": settings.availability_zone})
+        self.store = EtcdStore(settings.store)
+        self.store_threads = ThreadPoolExecutor(STORE_CALL_THREADS, "store-call")
+        self.sync = self._make_sync()
+        self.key_lease = SharedLease()
+        self.in_flight = 0
+        self.draining = False
+        self.refusing = False
+        self.stopped = asyncio.Event()
+
+    def _make_others(self) -> OtherEntries:
+        return OtherEntries(
             own=self.address,
             clock=self.clock,
             configuration=self.configuration,
@@ -93,23 +105,17 @@
             redial=self.node.redial,
             apply=self._apply_configuration,
         )
-        self.metrics = Metrics({"availability_zone": settings.availability_zone})
-        self.store = EtcdStore(settings.store)
-        self.store_threads = ThreadPoolExecutor(STORE_CALL_THREADS, "store-call")
-        self.sync = StoreSync(
+
+    def _make_sync(self) -> StoreSync:
+        return StoreSync(
             store=self.store,
             configuration=self.configuration,
             address=self.address,
             clock=self.clock,
-            log=log,
+            log=self.log,
             metrics=self.metrics,
             on_failed_read=self.others.probe,
         )
-        self.key_lease = SharedLease()
-        self.in_flight = 0
-        self.draining = False
-        self.refusing = False
-        self.stopped = asyncio.Event()
 
     def is_zone_in_service(self, availability_zone: str) -> bool:
         """Returns whether operators have the availability zone in service."""
