--- a/src/jackdawkeel/controllers/dispatch.py
+++ b/src/jackdawkeel/controllers/dispatch.py
@@ -268,8 +268,7 @@
         number = self.next_number
         self.next_number += 1
         now = self.clock()
-        is_copy = job.has_copy_out(index)
-        dispatch = Dispatch(number, job, index, peer, now, now, is_copy)
+        dispatch = Dispatch(number, job, index, peer, now, now)
         self.dispatches[number] = dispatch
         peer.outstanding[number] = dispatch
         job.outstanding[number] = dispatch
@@ -341,7 +340,7 @@
     def _is_wanted(self, dispatch: Dispatch) -> bool:
         job = dispatch.job
         has_result = job.results[dispatch.index] is not None
-        return not has_result and not job.has_copy_out(dispatch.index)
+        return not has_result and not job.count_copies_out(dispatch.index)
 
     def _retry_or_fail(self, dispatch: Dispatch, kind: ErrorKind, reason: str) -> None:
         job = dispatch.job
--- a/src/jackdawkeel/entry/daemon.py
+++ b/src/jackdawkeel/entry/daemon.py
@@ -11,6 +11,7 @@
 from ..clock import read_boot_clock
 from ..controllers.configuration import ConfigurationController
 from ..controllers.job_keys import SharedLease
+from ..controllers.known_keys import KnownKeysController
 from ..controllers.roster import RosterController
 from ..errors import DispatchError
 from ..errors import ErrorKind
@@ -74,6 +75,7 @@
             deliver=self.deliver,
         )
         self.quotas = QuotaState()
+        self.known_keys = KnownKeysController(self.clock)
         self.forwarder = JobForwarder(
             clock=self.clock,
             send=self.node.send,
@@ -86,6 +88,7 @@
             configuration=self.configuration,
             roster=self.roster,
             quotas=self.quotas,
+            known_keys=self.known_keys,
             send=self.node.send,
             redial=self.node.redial,
             apply=self._apply_configuration,
@@ -210,6 +213,8 @@
     def tick(self) -> None:
         """Lets time pass for the configuration and the calls that wait."""
         self.configuration.note_clock(self.clock())
+        if self.configuration.resumed_at is not None:
+            self.sync.confirm_soon()
         self.others.set_addresses(self.sync.entries)
         self.forwarder.tick()
 
--- a/src/jackdawkeel/entry/jobs.py
+++ b/src/jackdawkeel/entry/jobs.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from functools import partial
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -13,10 +12,8 @@
 from ..answer import Answer
 from ..answer import answer_error
 from ..controllers.job_keys import claim_key
-from ..controllers.job_keys import replace_claim
 from ..errors import DispatchError
 from ..errors import ErrorKind
-from ..errors import Outcome
 from ..job_id import mint_job_id
 from ..job_id import parse_job_id
 from ..job_request import JobRequest
@@ -33,8 +30,6 @@
 
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from ..controllers.roster import AgentView
     from .daemon import Entry
 
@@ -100,8 +95,7 @@
     request = parsed.unwrap()
     refusal = find_refusal(entry, JobCall(request, has_id=True))
     if refusal is not None and refusal.kind in ENTRY_ONLY_KINDS:
-        is_about_id = refusal.kind is ErrorKind.ENTRY_NOT_READY
-        return answer_error(job_id_text if is_about_id else None, refusal)
+        return answer_error(job_id_text, refusal)
     return await _submit(entry, job_id_text, request, refusal)
 
 
@@ -155,34 +149,44 @@
         return answer_error(None, DispatchError(ErrorKind.BAD_REQUEST, text))
     if refusal is not None:
         # The key may have an id from an earlier request, which may have run.
-        kind = refusal.kind
-        if kind is ErrorKind.NO_SUCH_SERVICE:
+        is_about_service = refusal.kind is ErrorKind.NO_SUCH_SERVICE
+        if is_about_service and await _has_never_existed(entry, request.service):
             return answer_error(None, refusal)
         refusal = DispatchError(ErrorKind.ENTRY_NOT_READY, refusal.message)
         return answer_error(None, refusal)
     home = entry.roster.choose_home(request.service)
     if home is None:
-        return answer_error(None, _no_target(request.service))
+        message = _no_target(request.service).message
+        return answer_error(None, DispatchError(ErrorKind.ENTRY_NOT_READY, message))
     minted = mint_job_id(home.address.incarnation, home.heartbeat.era)
-    claimed = await _call_store(entry, claim_key, key, str(minted))
-    if claimed.is_err():
-        return answer_error(None, claimed.unwrap_err())
-    job_id = claimed.unwrap()
-    answer = await _submit(entry, job_id, request, None)
-    if job_id == str(minted) or answer.outcome is not Outcome.NOT_RUN:
-        return answer
-    # An earlier request with the key was refused, and its id will never run.
-    replaced = await _call_store(entry, replace_claim, key, str(minted), job_id)
-    if replaced.is_err():
-        return answer_error(None, replaced.unwrap_err())
-    return await _submit(entry, replaced.unwrap(), request, None)
-
-
-async def _call_store(
-    entry: Entry, call: Callable[..., Result[str, DispatchError]], *arguments: str
-) -> Result[str, DispatchError]:
-    bound = partial(call, entry.store, entry.key_lease, KEY_SCOPE, *arguments)
-    return await entry.loop.run_in_executor(entry.store_threads, bound)
+    claimed = await entry.loop.run_in_executor(
+        entry.store_threads,
+        claim_key,
+        entry.store,
+        entry.key_lease,
+        KEY_SCOPE,
+        key,
+        str(minted),
+    )
+    if claimed.is_ok():
+        entry.known_keys.learn(key, claimed.unwrap())
+        return await _submit(entry, claimed.unwrap(), request, None)
+    known = entry.known_keys.find(key) or await entry.others.find_key(key)
+    if known is not None:
+        return await _submit(entry, known, request, None)
+    return answer_error(None, claimed.unwrap_err())
+
+
+async def _has_never_existed(entry: Entry, service: str) -> bool:
+    """Returns whether a read that begins now finds no service of this name.
+
+    Tickets set services up and never take them away, so no job of it has run.
+    """
+    asked_at = entry.clock()
+    await entry.sync.confirm()
+    if entry.configuration.confirmed_at < asked_at:
+        return False
+    return service not in entry.configuration.document.services
 
 
 async def _submit(
--- a/src/jackdawkeel/entry/routing.py
+++ b/src/jackdawkeel/entry/routing.py
@@ -11,10 +11,12 @@
 from ..messages import EntryProbe
 from ..messages import EntryProbeReply
 from ..messages import FindHome
+from ..messages import FindKey
 from ..messages import Heartbeat
 from ..messages import HomeFound
 from ..messages import JobAnswer
 from ..messages import JobNews
+from ..messages import KeyFound
 from ..messages import WrongRecipient
 
 
@@ -51,7 +53,11 @@
         case FindHome():
             others.handle_find_home(sender, message)
         case HomeFound():
-            others.handle_home_found(message)
+            others.handle_found(message.incarnation, message.link)
+        case FindKey():
+            others.handle_find_key(sender, message)
+        case KeyFound():
+            others.handle_found(message.key, message.job_id)
         case AgentsQuery():
             others.handle_agents_query(sender, message)
         case AgentsReply():
--- a/src/jackdawkeel/entry/store_sync.py
+++ b/src/jackdawkeel/entry/store_sync.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING
 from typing import Self
@@ -31,8 +32,11 @@
 
 CONFIRM_INTERVAL_S = 0.7
 ENTRIES_INTERVAL_S = 3.0
+FIRST_ENTRIES_INTERVAL_S = 0.5
+FIRST_ENTRIES_ROUNDS = 10
 WATCH_RETRY_S = 0.5
 STORE_THREADS = 8
+MAX_READS_AT_ONCE = 3
 
 
 class StoreSync:
@@ -70,6 +74,8 @@
         self.entries: list[PeerAddress] = []
         self.lease_id: int | None = None
         self.is_reached: bool | None = None
+        self.read_revision = 0
+        self.reads: set[asyncio.Task[None]] = set()
         self.watch: Watch | None = None
 
     def __enter__(self) -> Self:
@@ -83,7 +89,7 @@
         return self
 
     def __exit__(self, *_: object) -> None:
-        for task in self.tasks:
+        for task in [*self.tasks, *self.reads]:
             task.cancel()
         if self.watch is not None:
             self.watch.close()
@@ -91,28 +97,40 @@
 
     async def _confirm_forever(self) -> None:
         while True:
-            await self.confirm()
+            self.confirm_soon()
             await asyncio.sleep(CONFIRM_INTERVAL_S)
 
+    def confirm_soon(self) -> None:
+        """Begins a confirming read; a slow one does not hold up the next."""
+        if len(self.reads) < MAX_READS_AT_ONCE:
+            read = asyncio.create_task(self.confirm())
+            self.reads.add(read)
+            read.add_done_callback(self.reads.discard)
+
     async def confirm(self) -> None:
         """Reads the configuration once, as a confirmation from now."""
         sent_at = self.clock()
+        self.configuration.note_clock(sent_at)
         read = await self.loop.run_in_executor(
             self.threads, self.store.get, CONFIGURATION_KEY
         )
         self.metrics.observe(HistogramName.STORE_CALL, self.clock() - sent_at, "range")
         if read.is_err():
-            self.configuration.record_failed_read(sent_at, self.clock())
-            self._note_reached(False)
-            self.on_failed_read()
+            self._note_failed_read(sent_at)
             return
         reading = read.unwrap()
+        self.read_revision = max(self.read_revision, reading.revision)
         if reading.item is not None:
             self.apply(reading.item.mod_revision, reading.item.value)
         revision = reading.item.mod_revision if reading.item is not None else 0
         self.configuration.record_confirmation(sent_at, revision)
         self._note_reached(True)
 
+    def _note_failed_read(self, sent_at: float) -> None:
+        self.configuration.record_failed_read(sent_at, self.clock())
+        self._note_reached(False)
+        self.on_failed_read()
+
     def apply(self, revision: int, encoded: bytes) -> None:
         """Applies a configuration if it is newer than the one in force."""
         applied = self.configuration.apply(revision, encoded)
@@ -125,11 +143,9 @@
         self.log.record(EventName.CONFIGURATION_APPLIED, revision=revision)
 
     async def _watch_forever(self) -> None:
-        while not self.configuration.is_ready():
+        while not self.read_revision:
             await asyncio.sleep(WATCH_RETRY_S)
-        self.watch = self.store.watch(
-            CONFIGURATION_KEY, self.configuration.revision + 1
-        )
+        self.watch = self._open_watch()
         while True:
             read = await self.loop.run_in_executor(self.threads, self.watch.read)
             if read.is_ok():
@@ -139,25 +155,32 @@
                 return
             if read.unwrap_err().kind is StoreErrorKind.COMPACTED:
                 await self.confirm()
-                self.watch = self.store.watch(
-                    CONFIGURATION_KEY, self.configuration.revision + 1
-                )
+                self.watch.close()
+                self.watch = self._open_watch()
             await asyncio.sleep(WATCH_RETRY_S)
 
+    def _open_watch(self) -> Watch:
+        # Nothing was missed up to the store's revision at the last read, and that
+        # is less likely to be compacted than the configuration's own revision.
+        return self.store.watch(CONFIGURATION_KEY, self.read_revision + 1)
+
     def _apply_changes(self, changes: list[KeyChange]) -> None:
         for change in changes:
             if change.value is not None:
                 self.apply(change.mod_revision, change.value)
 
     async def _keep_entries_forever(self) -> None:
-        while True:
+        for rounds in itertools.count():
             await self._keep_lease()
             found = await self.loop.run_in_executor(
                 self.threads, list_entries, self.store
             )
             if found.is_ok():
                 self.entries = found.unwrap()
-            await asyncio.sleep(ENTRIES_INTERVAL_S)
+            # Entries that start together learn of each other at once.
+            is_young = rounds < FIRST_ENTRIES_ROUNDS
+            interval_s = FIRST_ENTRIES_INTERVAL_S if is_young else ENTRIES_INTERVAL_S
+            await asyncio.sleep(interval_s)
 
     async def _keep_lease(self) -> None:
         run = self.loop.run_in_executor
--- a/tests/standins/caller.py
+++ b/tests/standins/caller.py
@@ -42,6 +42,11 @@
         """The kind of the error in the body."""
         return str(self.body["error"]["kind"])
 
+    @property
+    def kind_or_outcome(self) -> str:
+        """The kind of the error if there is one, else the outcome."""
+        return self.kind if "error" in self.body else self.outcome
+
 
 class Caller:
     """Calls one entry; each method raises ``urllib3.exceptions.HTTPError``.
@@ -49,13 +54,16 @@
     Args:
         url: URL of the entry.
         keep_alive: Whether connections are used again.
+        timeout_s: Longest wait for an answer, in seconds.
     """
 
-    def __init__(self, url: str, keep_alive: bool = True) -> None:
+    def __init__(
+        self, url: str, keep_alive: bool = True, timeout_s: float = TIMEOUT_S
+    ) -> None:
         self.url = url
         self.headers = {} if keep_alive else {"Connection": "close"}
         self.pool = urllib3.PoolManager(
-            retries=False, timeout=TIMEOUT_S, maxsize=CONNECTIONS
+            retries=False, timeout=timeout_s, maxsize=CONNECTIONS
         )
 
     def request(
--- a/tests/standins/processes.py
+++ b/tests/standins/processes.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import os
+import random
 import signal
 import socket
 import subprocess
 import sys
 import time
+from contextlib import suppress
 from pathlib import Path
 from typing import TYPE_CHECKING
 from typing import Self
@@ -18,16 +20,21 @@
 
 
 REPOSITORY = Path(__file__).resolve().parent.parent.parent
+FIRST_PORT = 10_000
+FIRST_EPHEMERAL_PORT = 32_768
 POLL_S = 0.01
 DEFAULT_WAIT_S = 20.0
 LOG_TAIL_LINES = 20
+TASK_EVENT = '"message_type":"task_'
 
 
 def pick_address(host: str) -> str:
-    """Returns an address with a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return f"{host}:{probe.getsockname()[1]}"
+    """Returns an address that is free now and that no outgoing connection takes."""
+    while True:
+        port = random.randrange(FIRST_PORT, FIRST_EPHEMERAL_PORT)
+        with socket.socket() as probe, suppress(OSError):
+            probe.bind((host, port))
+            return f"{host}:{port}"
 
 
 def wait_until(
@@ -120,9 +127,9 @@
         return self.process.poll() is None
 
     def tail(self) -> str:
-        """Returns the last lines of its output and of its errors."""
-        lines = [
-            *self.log.read_text(errors="replace").splitlines()[-LOG_TAIL_LINES:],
-            *self.error_log.read_text(errors="replace").splitlines()[-LOG_TAIL_LINES:],
-        ]
+        """Returns its last events but those of tasks, and its last errors."""
+        events = self.log.read_text(errors="replace").splitlines()
+        rare = [event for event in events if TASK_EVENT not in event]
+        errors = self.error_log.read_text(errors="replace").splitlines()
+        lines = [*rare[-LOG_TAIL_LINES:], *errors[-LOG_TAIL_LINES:]]
         return "\n".join([f"--- {self.name}", *lines])
