--- a/src/jackdawkeel/agent/daemon.py
+++ b/src/jackdawkeel/agent/daemon.py
@@ -25,6 +25,7 @@
 from ..messages import PeerAddress
 from ..messages import PeerStatus
 from ..periodic import repeat_forever
+from ..periodic import restart_on_error
 from ..store.entries import list_entries
 from ..store.etcd import EtcdStore
 from ..target.client import TargetClient
@@ -187,7 +188,9 @@
         with self.node, self.target, self.store:
             self._install_signals()
             tasks = [
-                asyncio.create_task(self._heartbeat_forever()),
+                asyncio.create_task(
+                    restart_on_error(self._heartbeat_forever, self.log, HEARTBEAT_S)
+                ),
                 asyncio.create_task(repeat_forever(TICK_S, self.tick, self.log)),
             ]
             await self.stopped.wait()
--- a/src/jackdawkeel/controllers/roster.py
+++ b/src/jackdawkeel/controllers/roster.py
@@ -81,7 +81,7 @@
         self.agents: dict[str, AgentView] = {}
         self.incarnations: dict[str, str] = {}
         self.index = AgentIndex()
-        self.gone: dict[str, None] = {}
+        self.gone: dict[str, bool] = {}
         self.ejection = EjectionState()
         self.ejected: set[str] = set()
         self.rng = random.Random(availability_zone)
@@ -108,21 +108,25 @@
         self.index.add(heartbeat.agent)
         return True
 
-    def mark_gone(self, incarnation: str) -> None:
-        """Notes for good that the process of an incarnation has ended."""
+    def mark_gone(self, incarnation: str, *, is_certain: bool = True) -> None:
+        """Notes that the process of an incarnation has ended, or is long silent."""
         view = self.agents.pop(incarnation, None)
         if view is not None:
             self.index.remove(view.heartbeat.agent)
             self.incarnations.pop(view.address.link, None)
         forget_agent(self.ejection, incarnation)
-        self.gone[incarnation] = None
+        self.gone[incarnation] = is_certain
         if len(self.gone) > MAX_GONE:
             del self.gone[next(iter(self.gone))]
 
     def is_gone(self, incarnation: str) -> bool:
-        """Returns whether the process of an incarnation is known to have ended."""
+        """Returns whether an incarnation has ended or is long silent here."""
         return incarnation in self.gone
 
+    def has_ended(self, incarnation: str) -> bool:
+        """Returns whether the process of an incarnation is known to have ended."""
+        return self.gone.get(incarnation, False)
+
     def find(self, incarnation: str) -> AgentView | None:
         """Returns an agent by its incarnation, live or silent."""
         return self.agents.get(incarnation)
@@ -205,7 +209,7 @@
                 view.is_noted_silent = True
                 self.log.record(EventName.AGENT_SILENT, agent=incarnation)
             if now - view.heard_at > DROP_S:
-                self.mark_gone(incarnation)
+                self.mark_gone(incarnation, is_certain=False)
                 continue
             for service in view.heartbeat.agent.services:
                 if self.is_live(view):
--- a/src/jackdawkeel/entry/jobs.py
+++ b/src/jackdawkeel/entry/jobs.py
@@ -229,7 +229,7 @@
     view = entry.roster.find(incarnation)
     if view is not None:
         return view.address
-    if entry.roster.is_gone(incarnation):
+    if entry.roster.has_ended(incarnation):
         return None
     return await entry.others.find_home(incarnation)
 
--- a/src/jackdawkeel/link/node.py
+++ b/src/jackdawkeel/link/node.py
@@ -39,6 +39,7 @@
 MAX_RECEIVED_PER_WAKE = 100
 MAX_PENDING_BATCHES = 10_000
 SEND_RETRY_S = 0.005
+SPLIT_BYTES = 1024 * 1024
 REDIAL_INTERVAL_S = 0.2
 IDLE_LINK_S = 120.0
 
@@ -209,7 +210,11 @@
 
     def _drain(self, link: OutboundLink) -> None:
         while link.batches and link.connection is not None:
-            if not link.connection.send(self._encode(link, link.batches[0])):
+            body = self._encode(link, link.batches[0])
+            if len(body) > SPLIT_BYTES and len(link.batches[0].messages) > 1:
+                _split_first(link.batches)
+                continue
+            if not link.connection.send(body):
                 self.loop.call_later(SEND_RETRY_S, self._drain, link)
                 return
             link.batches.popleft()
@@ -291,3 +296,10 @@
             return
         if self.clock() - link.dialed_at >= REDIAL_INTERVAL_S:
             self._dial(link)
+
+
+def _split_first(batches: deque[Batch]) -> None:
+    first = batches.popleft()
+    middle = len(first.messages) // 2
+    batches.appendleft(Batch(first.recipient, first.messages[middle:]))
+    batches.appendleft(Batch(first.recipient, first.messages[:middle]))
--- a/src/jackdawkeel/periodic.py
+++ b/src/jackdawkeel/periodic.py
@@ -7,6 +7,7 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
     from collections.abc import Callable
 
     from .logs import EventLog
@@ -22,3 +23,17 @@
             work()
         except Exception:
             log.record_exception(f"repeating {work.__qualname__}")
+
+
+async def restart_on_error(
+    work: Callable[[], Awaitable[None]], log: EventLog, delay_s: float
+) -> None:
+    """Runs a coroutine until it returns; an exception is logged and it starts anew."""
+    while True:
+        try:
+            await work()
+        except Exception:
+            log.record_exception(f"running {work.__qualname__}")
+            await asyncio.sleep(delay_s)
+        else:
+            return
--- a/src/jackdawkeel/settings.py
+++ b/src/jackdawkeel/settings.py
@@ -17,7 +17,8 @@
 from .setting_values import parse_dialled_address
 from .setting_values import parse_name
 from .setting_values import parse_names
-from .setting_values import parse_url
+from .setting_values import parse_plain_base_url
+from .setting_values import parse_plain_url
 
 
 ENVIRONMENT_PREFIX = "JACKDAWKEEL_"
@@ -184,7 +185,7 @@
         listen_port=listen.port,
         link=link,
         advertise=advertise,
-        store=_read(STORE, parse_base_url, flags, environment),
+        store=_read(STORE, parse_plain_base_url, flags, environment),
         availability_zone=_read(AVAILABILITY_ZONE, parse_name, flags, environment),
         threads=_read(THREADS, _limit_count(MAX_THREADS), flags, environment),
     )
@@ -197,10 +198,10 @@
     return AgentSettings(
         link=link,
         advertise=advertise,
-        store=_read(STORE, parse_base_url, flags, environment),
+        store=_read(STORE, parse_plain_base_url, flags, environment),
         availability_zone=_read(AVAILABILITY_ZONE, parse_name, flags, environment),
         rack=_read(RACK, parse_name, flags, environment),
-        target=_read(TARGET, parse_url, flags, environment),
+        target=_read(TARGET, parse_plain_url, flags, environment),
         services=_read(SERVICES, parse_names, flags, environment),
         slots=_read(SLOTS, _limit_count(MAX_SLOTS), flags, environment),
         connections=_read(
--- a/tests/link/test_node.py
+++ b/tests/link/test_node.py
@@ -12,6 +12,7 @@
 
 from jackdawkeel.clock import read_boot_clock
 from jackdawkeel.errors import StartError
+from jackdawkeel.link.node import SPLIT_BYTES
 from jackdawkeel.link.node import LinkNode
 from jackdawkeel.messages import PROTOCOL_VERSION
 from jackdawkeel.messages import Envelope
@@ -142,6 +143,14 @@
         self.two.node.send(self.sender, JobQuery("back again"))
         await self.one.wait_for(2)
 
+    async def test_a_large_turn_is_split(self) -> None:
+        names = [str(number) * SPLIT_BYTES for number in range(5)]
+        for name in names:
+            self.one.node.send(self.recipient, JobQuery(name))
+        await self.two.wait_for(5)
+        self.assertEqual(self.two.messages, [JobQuery(name) for name in names])
+        self.assertEqual(self.one.node.envelopes_sent, 5)
+
     async def test_address_in_use_is_a_start_error(self) -> None:
         with self.assertRaisesRegex(StartError, "can't listen on tcp://"):
             self.enterContext(Inbox("4" * 16, self.one.node.listen).node)
