Expect a job to wait only for what goes before it

A new job of n tasks now waits for at most n of each other job; agents report how many jobs wait. Ruled out: raising the bound of 2 s, which also admits what does wait.

--- a/bench/link_slopes.py
+++ b/bench/link_slopes.py
@@ -56,7 +56,7 @@
             PeerStatus(make_address(f"{n:016x}"), ["service"], f"zone-{n % 3}", SLOTS)
             for n in range(peers)
         ]
-        self.peers.apply_list(listed, [PeerLoad(0, 0)] * peers)
+        self.peers.apply_list(listed, [PeerLoad(0, 0, 0)] * peers)
         self.dispatch = DispatchController(
             clock=self.clock,
             log=make_log(),
--- a/src/jackdawkeel/agent/heartbeat.py
+++ b/src/jackdawkeel/agent/heartbeat.py
@@ -23,6 +23,7 @@
         completed=execution.completed,
         failed=execution.failed,
         envelopes_sent=agent.node.envelopes_sent,
+        waiting_jobs=agent.dispatch.count_waiting_jobs(),
     )
     return Heartbeat(
         sent_at=agent.clock(),
--- a/src/jackdawkeel/agent/refusals.py
+++ b/src/jackdawkeel/agent/refusals.py
@@ -38,7 +38,7 @@
     """Returns why the job would wait too long, or None."""
     service = agent.configuration.configuration.services.get(message.service)
     return find_refusal(
-        agent.dispatch.measure_load(message.service),
+        agent.dispatch.measure_load(message.service, len(message.payloads)),
         len(message.payloads),
         message.deadline_ms,
         None if service is None else service.state.max_queue_ms,
--- a/src/jackdawkeel/controllers/busy_shares.py
+++ b/src/jackdawkeel/controllers/busy_shares.py
@@ -31,7 +31,7 @@
             return
         self.updated_at = now
         for service, stats in services.items():
-            capacity = self.peers.measure_capacity(service)
+            capacity = self.peers.measure_capacity(service, tasks=1)
             running = min(capacity.held, capacity.slots)
             stats.busy_share = update_busy_share(
                 stats.busy_share, running, capacity.slots, elapsed_s
--- a/src/jackdawkeel/controllers/dispatch.py
+++ b/src/jackdawkeel/controllers/dispatch.py
@@ -104,15 +104,25 @@
         self.ready.append(job)
         self.dispatch_ready()
 
+    def count_waiting_jobs(self) -> int:
+        """Returns the number of jobs with tasks that are not yet dispatched."""
+        return sum(bool(job.waiting) for job in self.jobs.values())
+
     def count_waiting(self) -> int:
         """Returns the number of tasks that are not yet dispatched."""
         return sum(len(job.waiting) for job in self.jobs.values())
 
-    def measure_load(self, service: str) -> ServiceLoad:
-        """Returns the load of a service as far as this home knows it."""
-        capacity = self.peers.measure_capacity(service)
+    def measure_load(self, service: str, tasks: int) -> ServiceLoad:
+        """Returns the load that a new job of so many tasks would meet.
+
+        Jobs take turns, a task each, so the new job waits for no more tasks of any
+        other job than it has itself.
+        """
+        capacity = self.peers.measure_capacity(service, tasks)
         own_waiting = sum(
-            len(job.waiting) for job in self.jobs.values() if job.service == service
+            min(len(job.waiting), tasks)
+            for job in self.jobs.values()
+            if job.service == service
         )
         return ServiceLoad(
             slots=capacity.slots,
--- a/src/jackdawkeel/controllers/peers.py
+++ b/src/jackdawkeel/controllers/peers.py
@@ -35,6 +35,7 @@
         outstanding: This home's open dispatches there, in order of number.
         reported: Tasks there that are not this home's, as last reported.
         waiting: Tasks that wait at home there, as last reported.
+        waiting_jobs: Jobs that have such tasks.
         listed_at: When an entry last listed it, in seconds of the clock.
         heard_at: When it last sent anything here.
         sent_at: When a message with settled numbers was last sent to it.
@@ -49,6 +50,7 @@
     outstanding: dict[int, Dispatch] = field(default_factory=dict)
     reported: int = 0
     waiting: int = 0
+    waiting_jobs: int = 0
     listed_at: float = 0.0
     heard_at: float = 0.0
     sent_at: float = 0.0
@@ -76,7 +78,7 @@
     Attributes:
         slots: Tasks that their targets run at once.
         held: Tasks that run or wait at them.
-        waiting_elsewhere: Tasks that wait at other homes, as last reported.
+        waiting_elsewhere: Tasks at other homes that go before, as last reported.
     """
 
     slots: int
@@ -136,6 +138,7 @@
             peer.status = status
             peer.listed_at = now
             peer.waiting = load.waiting
+            peer.waiting_jobs = load.waiting_jobs
             peer.reported = max(0, load.held - len(peer.outstanding))
         for peer in self.list_all():
             unlisted = now - peer.listed_at > UNLISTED_S
@@ -163,8 +166,14 @@
             for peer in self.peers.values()
         )
 
-    def measure_capacity(self, service: str) -> ServiceCapacity:
-        """Returns the slots of a service and what holds them, in service only."""
+    def measure_capacity(self, service: str, tasks: int) -> ServiceCapacity:
+        """Returns the slots of a service and what holds them, in service only.
+
+        Args:
+            service: Name of the service.
+            tasks: Tasks of the job whose wait is to be told. Jobs take turns, so no
+                more tasks of any other job go before it.
+        """
         slots = held = waiting_elsewhere = 0
         for peer in self.peers.values():
             status = peer.status
@@ -175,7 +184,7 @@
             slots += status.slots
             held += len(peer.outstanding) + self._count_reported(peer)
             if peer is not self.own:
-                waiting_elsewhere += peer.waiting
+                waiting_elsewhere += min(peer.waiting, peer.waiting_jobs * tasks)
         return ServiceCapacity(slots, held, waiting_elsewhere)
 
     @property
--- a/src/jackdawkeel/controllers/roster.py
+++ b/src/jackdawkeel/controllers/roster.py
@@ -189,7 +189,10 @@
     def list_peer_loads(self, view: AgentView) -> list[PeerLoad]:
         """Returns the load of each peer that an agent is told."""
         loads = [self.agents[name].heartbeat.load for name in view.peers]
-        return [PeerLoad(load.running + load.queued, load.waiting) for load in loads]
+        return [
+            PeerLoad(load.running + load.queued, load.waiting, load.waiting_jobs)
+            for load in loads
+        ]
 
     def _may_be_peer(self, incarnation: str) -> bool:
         view = self.agents.get(incarnation)
--- a/src/jackdawkeel/messages/agents.py
+++ b/src/jackdawkeel/messages/agents.py
@@ -42,6 +42,7 @@
         failed: Tasks that ended badly since the agent started.
         task_ms: Mean run time of recent tasks in milliseconds, 0 if none.
         envelopes_sent: Envelopes sent over links since the agent started.
+        waiting_jobs: Jobs at home here with tasks that are not yet dispatched.
     """
 
     running: int = 0
@@ -51,6 +52,7 @@
     failed: int = 0
     task_ms: float = 0.0
     envelopes_sent: int = 0
+    waiting_jobs: int = 0
 
 
 class PeerStatus(msgspec.Struct, frozen=True, array_like=True):
@@ -63,10 +65,17 @@
 
 
 class PeerLoad(msgspec.Struct, frozen=True, array_like=True):
-    """The load of a listed peer, as far as placement needs it."""
+    """The load of a listed peer, as far as placement needs it.
+
+    Attributes:
+        held: Tasks that run or wait at its target.
+        waiting: Tasks of jobs at home there that are not yet dispatched.
+        waiting_jobs: Jobs that have such tasks.
+    """
 
     held: int
     waiting: int
+    waiting_jobs: int
 
 
 class AgentConfiguration(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/controllers/test_dispatch.py
+++ b/tests/controllers/test_dispatch.py
@@ -90,7 +90,7 @@
             lambda: self.held_for_others,
         )
         listed = [make_peer(NEAR, "zone-a"), make_peer(FAR, "zone-b")]
-        self.peers.apply_list(listed, [PeerLoad(0, 0)] * 2)
+        self.peers.apply_list(listed, [PeerLoad(0, 0, 0)] * 2)
         self.dispatch = DispatchController(
             clock=self.clock,
             log=make_log(),
@@ -312,3 +312,16 @@
         self.dispatch.find_stats("service").retries.balance = 0.0
         self.report(second, "failed")
         self.assertEqual(self.answers["job"].outcome, "failed")
+
+    def test_expected_load_counts_only_what_goes_before(self) -> None:
+        listed = [make_peer(NEAR, "zone-a"), make_peer(FAR, "zone-b")]
+        loads = [PeerLoad(0, 200, 1), PeerLoad(0, 3, 2)]
+        self.peers.apply_list(listed, loads)
+        self.submit(100)
+        held = len(self.take_out())
+        cases = [(1, 1 + 1 + 2), (10, 10 + 10 + 3), (240, 100 - held + 200 + 3)]
+        for tasks, waiting in cases:
+            with self.subTest(tasks=tasks):
+                load = self.dispatch.measure_load("service", tasks)
+                self.assertEqual(load.waiting, waiting)
+                self.assertEqual((load.slots, load.running), (3 * SLOTS, held))
