--- a/src/jackdawkeel/controllers/dispatch.py
+++ b/src/jackdawkeel/controllers/dispatch.py
@@ -10,10 +10,6 @@
 from ..answer import answer_error
 from ..errors import DispatchError
 from ..errors import ErrorKind
-from ..events import EventName
-from ..messages import CancelTasks
-from ..messages import DispatchTasks
-from ..messages import TaskDispatch
 from ..policy.admission_estimate import ServiceLoad
 from ..policy.hedging import take_hedge
 from ..policy.reserve import reserved_slots
@@ -21,8 +17,8 @@
 from ..policy.retry_budget import take_second_attempt
 from ..task_state import TaskState
 from .busy_shares import BusyShares
-from .job import Dispatch
 from .job import Job
+from .open_dispatches import OpenDispatches
 from .service_stats import ServiceStats
 from .silence import SilenceController
 from .stragglers import find_stragglers
@@ -37,8 +33,10 @@
     from ..messages import Message
     from ..messages import PeerAddress
     from ..messages import SubmitJob
+    from ..messages import TaskDispatch
     from ..messages import TaskReport
     from ..messages import TaskReports
+    from .job import Dispatch
     from .peers import Peer
     from .peers import PeerController
 
@@ -73,18 +71,15 @@
             finish: Takes the final answer of a job.
         """
         self.clock = clock
-        self.log = log
         self.peers = peers
-        self.send = send
         self.finish = finish
+        self.dispatches = OpenDispatches(clock, log, send)
         self.silence = SilenceController(
-            send=send, redial=redial, find_oldest_open=self.find_oldest_open
+            send=send, redial=redial, find_oldest_open=self.dispatches.find_oldest
         )
         self.services: dict[str, ServiceStats] = {}
         self.jobs: dict[str, Job] = {}
         self.ready: deque[Job] = deque()
-        self.dispatches: dict[int, Dispatch] = {}
-        self.next_number = 1
         self.ticked_at = clock()
         self.busy_shares = BusyShares(peers, self.ticked_at)
 
@@ -149,7 +144,7 @@
             return
         self.peers.record_reports(peer, message)
         for report in message.reports:
-            dispatch = self.dispatches.get(report.number)
+            dispatch = self.dispatches.by_number.get(report.number)
             if dispatch is not None and dispatch.peer is peer:
                 self._handle_report(dispatch, report)
         self.dispatch_ready()
@@ -164,7 +159,7 @@
             return
         for dispatch in list(peer.outstanding.values()):
             if dispatch.number not in message.unsettled:
-                self._close(dispatch)
+                self.dispatches.close(dispatch)
                 self._requeue(dispatch)
         self._give_up(peer)
 
@@ -178,7 +173,7 @@
 
     def _give_up(self, peer: Peer) -> None:
         for dispatch in list(peer.outstanding.values()):
-            self._close(dispatch)
+            self.dispatches.close(dispatch)
             self._retry_or_fail(
                 dispatch, ErrorKind.TASK_UNKNOWN, "the executing agent is gone"
             )
@@ -187,6 +182,7 @@
     def dispatch_ready(self) -> None:
         """Sends waiting tasks, one job after the other, while there are places."""
         batches: dict[str, list[TaskDispatch]] = {}
+        chosen: dict[str, Peer] = {}
         blocked: set[tuple[str, int]] = set()
         idle_turns = 0
         while self.ready and idle_turns < len(self.ready):
@@ -205,12 +201,13 @@
                 idle_turns += 1
                 continue
             idle_turns = 0
-            task = self._open(job, job.waiting.popleft(), peer)
+            task = self.dispatches.open(job, job.waiting.popleft(), peer)
             note_first_attempt(self.find_stats(job.service).hedges)
             note_first_attempt(self.find_stats(job.service).retries)
+            chosen[peer.incarnation] = peer
             batches.setdefault(peer.incarnation, []).append(task)
         for incarnation, tasks in batches.items():
-            self._send_batch(incarnation, tasks)
+            self.dispatches.send_batch(chosen[incarnation], tasks)
 
     def _reserve_slots(self, job: Job) -> int:
         busy_share = self.find_stats(job.service).busy_share
@@ -239,14 +236,8 @@
                 self.handle_gone(peer.incarnation)
         self.dispatch_ready()
 
-    def find_oldest_open(self, peer: Peer) -> int:
-        """Returns the lowest dispatch number that is open at a peer."""
-        return next(iter(peer.outstanding), self.next_number)
-
-    def _shift_timers(self, gap: float) -> None:
-        for dispatch in self.dispatches.values():
-            dispatch.heard_at += gap
-            dispatch.sent_at += gap
+    def _shift_timers(self, gap_s: float) -> None:
+        self.dispatches.shift_timers(gap_s)
         for peer in self.peers.list_all():
             peer.asked_at = None
 
@@ -264,8 +255,8 @@
             return
         elapsed_ms = (now - dispatch.sent_at) * MS_PER_S
         if take_hedge(True, 1, elapsed_ms, stats.run_time, stats.hedges):
-            task = self._open(job, dispatch.index, peer)
-            self._send_batch(peer.incarnation, [task])
+            task = self.dispatches.open(job, dispatch.index, peer)
+            self.dispatches.send_batch(peer, [task])
 
     def find_stats(self, service: str) -> ServiceStats:
         """Returns what was learned of a service."""
@@ -274,49 +265,12 @@
             stats = self.services[service] = ServiceStats()
         return stats
 
-    def _open(self, job: Job, index: int, peer: Peer) -> TaskDispatch:
-        number = self.next_number
-        self.next_number += 1
-        now = self.clock()
-        dispatch = Dispatch(number, job, index, peer, now, now)
-        self.dispatches[number] = dispatch
-        peer.outstanding[number] = dispatch
-        job.outstanding[number] = dispatch
-        return TaskDispatch(
-            number=number,
-            job_id=job.job_id,
-            index=index,
-            service=job.service,
-            payload=job.payloads[index],
-            deadline_ms=max(1, int((job.expires_at - now) * 1000)),
-        )
-
-    def _send_batch(self, incarnation: str, tasks: list[TaskDispatch]) -> None:
-        peer = self.peers.find(incarnation)
-        if peer is None:
-            return
-        self.log.record(
-            EventName.TASK_DISPATCHED,
-            peer=incarnation,
-            job=tasks[0].job_id,
-            count=len(tasks),
-        )
-        peer.note_sent(self.clock())
-        oldest_open = self.find_oldest_open(peer)
-        self.send(peer.status.address, DispatchTasks(oldest_open, tasks))
-
-    def _close(self, dispatch: Dispatch) -> None:
-        del self.dispatches[dispatch.number]
-        del dispatch.peer.outstanding[dispatch.number]
-        dispatch.job.outstanding.pop(dispatch.number, None)
-        dispatch.peer.unsettled = True
-
     def _handle_report(self, dispatch: Dispatch, report: TaskReport) -> None:
         dispatch.heard_at = self.clock()
         state = TaskState(report.state)
         if state is TaskState.RUNNING:
             return
-        self._close(dispatch)
+        self.dispatches.close(dispatch)
         if state is TaskState.DONE:
             self.find_stats(dispatch.job.service).observe(report.run_ms)
             self._record_result(dispatch, report.body)
@@ -389,15 +343,7 @@
 
     def _withdraw(self, job: Job) -> None:
         job.waiting.clear()
-        numbers_by_peer: dict[str, list[int]] = {}
-        for number in job.outstanding:
-            incarnation = self.dispatches[number].peer.incarnation
-            numbers_by_peer.setdefault(incarnation, []).append(number)
-        for incarnation, numbers in numbers_by_peer.items():
-            peer = self.peers.find(incarnation)
-            if peer is not None:
-                message = CancelTasks(self.find_oldest_open(peer), numbers)
-                self.send(peer.status.address, message)
+        self.dispatches.cancel(job)
 
     def _finish(self, job: Job, answer: Answer) -> None:
         del self.jobs[job.job_id]
--- a/tests/controllers/test_dispatch.py
+++ b/tests/controllers/test_dispatch.py
@@ -71,9 +71,9 @@
                 )
                 dispatch.find_stats("service").busy_share = busy_share
                 dispatch.start_job(SubmitJob("j", "", "service", [b"1"] * 9, False, 9))
-                self.assertEqual(len(dispatch.dispatches), after_job)
+                self.assertEqual(len(dispatch.dispatches.by_number), after_job)
                 dispatch.start_job(SubmitJob("k", "", "service", [b"1"], False, 9))
-                self.assertEqual(len(dispatch.dispatches), after_single)
+                self.assertEqual(len(dispatch.dispatches.by_number), after_single)
 
 
 class DispatchTest(unittest.TestCase):
