Describe only the peers that have room when a target is chosen

Ruled out: keeping descriptions between choices, as in steady load each report causes one choice with new loads. Controller and policy tests pass.

--- a/src/jackdawkeel/controllers/peers.py
+++ b/src/jackdawkeel/controllers/peers.py
@@ -182,7 +182,7 @@
             if not self.is_zone_in_service(status.availability_zone):
                 continue
             slots += status.slots
-            held += len(peer.outstanding) + self._count_reported(peer)
+            held += self._count_held(peer)
             if peer is not self.own:
                 waiting_elsewhere += min(peer.waiting, peer.waiting_jobs * tasks)
         return ServiceCapacity(slots, held, waiting_elsewhere)
@@ -212,14 +212,20 @@
             The peer, or None if all are full.
         """
         now = self.clock()
-        candidates = [
-            self._describe(peer, now)
+        eligible = [
+            peer
             for peer in self.peers.values()
             if self._may_get_work(peer, service, now)
         ]
         if avoided is not None:
-            others = [one for one in candidates if one.incarnation != avoided]
-            candidates = others or candidates
+            others = [peer for peer in eligible if peer.incarnation != avoided]
+            eligible = others or eligible
+        # Describing a peer costs most of the choice, and under load most are full.
+        candidates = [
+            self._describe(peer, now)
+            for peer in eligible
+            if self._count_held(peer) < peer.status.slots + queue_allowance
+        ]
         own = self.own.status
         chosen = choose_executor(
             candidates,
@@ -248,6 +254,9 @@
             in_service=self.is_zone_in_service(status.availability_zone),
         )
 
+    def _count_held(self, peer: Peer) -> int:
+        return len(peer.outstanding) + self._count_reported(peer)
+
     def _count_reported(self, peer: Peer) -> int:
         return self.count_held_for_others() if peer is self.own else peer.reported
 
