--- a/tests/integration/test_configuration.py
+++ b/tests/integration/test_configuration.py
@@ -15,6 +15,8 @@
 
 
 if TYPE_CHECKING:
+    from tests.standins.fleet import AgentProcess
+    from tests.standins.fleet import EntryProcess
     from tests.standins.fleet import Fleet
 
 
@@ -36,9 +38,21 @@
     ]
 
 
-def is_in_force(fleet: Fleet, number: int) -> bool:
-    """Returns whether every entry says that every agent has a ticket in force."""
-    for entry in fleet.entries:
+def set_faults(
+    agent: AgentProcess, entries: list[EntryProcess], *, silent: bool
+) -> None:
+    """Lets nothing pass between an agent and entries, or all of it again."""
+    for entry in entries:
+        assert agent.proxy is not None and entry.proxy is not None
+        entry.proxy.set_fault(Fault(silent=silent), agent.host)
+        agent.proxy.set_fault(Fault(silent=silent), entry.host)
+
+
+def is_in_force(
+    fleet: Fleet, number: int, entries: list[EntryProcess] | None = None
+) -> bool:
+    """Returns whether entries, or all, say that every agent has a ticket in force."""
+    for entry in entries or fleet.entries:
         reply = entry.caller.get_ticket(number)
         if reply.status != 200 or len(reply.body["in_force"]) != len(fleet.agents):
             return False
@@ -99,6 +113,28 @@
         fleet.wait_until(lambda: is_in_force(fleet, 3), "the ticket", IN_FORCE_S)
         self.judge_never_reverts(fleet)
 
+    def test_agent_that_was_cut_off_comes_back_through_another_entry(self) -> None:
+        fleet = self.start_fleet(proxied=True)
+        first, second = fleet.entries
+        agent = fleet.agents[0]
+        set_faults(agent, fleet.entries, silent=True)
+        reply = first.caller.submit_ticket(2, make_ticket(2))
+        self.assertEqual(200, reply.status, reply)
+        fleet.wait_until(
+            lambda: len(first.caller.get_ticket(2).body["not_heard"]) == 1,
+            "the agent to be silent",
+        )
+        set_faults(agent, [second], silent=False)
+        fleet.wait_until(lambda: is_in_force(fleet, 2), "the ticket", IN_FORCE_S)
+        second.process.kill()
+        set_faults(agent, [first], silent=False)
+        reply = first.caller.submit_ticket(3, make_ticket(3))
+        self.assertEqual(200, reply.status, reply)
+        fleet.wait_until(
+            lambda: is_in_force(fleet, 3, [first]), "the ticket", IN_FORCE_S
+        )
+        self.judge_never_reverts(fleet)
+
     def test_entry_starts_in_an_outage_of_the_store(self) -> None:
         fleet = self.start_fleet()
         first, second = fleet.entries
--- a/tests/integration/test_zone_out_of_service.py
+++ b/tests/integration/test_zone_out_of_service.py
@@ -32,17 +32,28 @@
 
 @dataclass(frozen=True, slots=True)
 class ZoneFault:
-    """A fault that begins before the ticket and ends after the grace."""
+    """A fault that begins before or after the ticket and ends after the grace."""
 
     name: str
     begin: Callable[[Fleet, AgentProcess], None]
     end: Callable[[Fleet, AgentProcess], None]
+    follow: Callable[[Fleet, AgentProcess], None]
 
 
 def do_nothing(fleet: Fleet, agent: AgentProcess) -> None:
     """Leaves the fleet as it is."""
 
 
+def end_store(fleet: Fleet, agent: AgentProcess) -> None:
+    """Lets the store refuse every call."""
+    fleet.control(fleet.store_url, down="refuse")
+
+
+def restore_store(fleet: Fleet, agent: AgentProcess) -> None:
+    """Brings the store back."""
+    fleet.control(fleet.store_url, down="")
+
+
 def cut_from_entries(fleet: Fleet, agent: AgentProcess) -> None:
     """Lets nothing pass between an agent and the entries, and no end either."""
     assert agent.proxy is not None
@@ -74,10 +85,13 @@
 
 
 ZONE_FAULTS = [
-    ZoneFault("no fault", do_nothing, do_nothing),
-    ZoneFault("agent cut off from all entries", cut_from_entries, heal),
-    ZoneFault("agent frozen", freeze, resume),
-    ZoneFault("store loses the answer to the write", lose_answer, do_nothing),
+    ZoneFault("no fault", do_nothing, do_nothing, do_nothing),
+    ZoneFault("agent cut off from all entries", cut_from_entries, heal, do_nothing),
+    ZoneFault("agent frozen", freeze, resume, do_nothing),
+    ZoneFault(
+        "store loses the answer to the write", lose_answer, do_nothing, do_nothing
+    ),
+    ZoneFault("store down after the write", do_nothing, restore_store, end_store),
 ]
 
 
@@ -103,6 +117,7 @@
             ticket = {"availability_zones": {zone: {"in_service": False}}}
             reply = operator.submit_ticket(OUT_TICKET, ticket)
             self.assertEqual(200, reply.status, reply)
+            row.follow(fleet, agent)
             out_from = time.monotonic() + GRACE_S
             fleet.wait_until(lambda: time.monotonic() > out_from, "the grace to end")
             row.end(fleet, agent)
