--- a/bench/controller_slopes.py
+++ b/bench/controller_slopes.py
@@ -65,6 +65,10 @@
 
     addresses: list[PeerAddress] = field(default_factory=list)
 
+    def list_for_agent(self) -> list[PeerAddress]:
+        """Returns the entries that a reply names."""
+        return self.addresses
+
 
 @dataclass(slots=True)
 class EntryParts:
--- a/src/jackdawkeel/entry/heartbeats.py
+++ b/src/jackdawkeel/entry/heartbeats.py
@@ -31,7 +31,7 @@
         lease_ms=entry.configuration.lease_ms(entry.clock()),
         revision=entry.configuration.revision,
         configuration=_find_change(entry, heartbeat),
-        entries=[entry.address, *entry.others.addresses],
+        entries=entry.others.list_for_agent(),
         ejected=agent.address.incarnation in entry.roster.ejected,
         peer_list=view.peer_list,
         peers=None if has_list else entry.roster.describe_peers(view),
--- a/src/jackdawkeel/entry/other_entries.py
+++ b/src/jackdawkeel/entry/other_entries.py
@@ -34,6 +34,7 @@
 ANSWER_WAIT_S = 0.5
 FIND_WAIT_S = 1.0
 HEARD_KEPT_S = 5.0
+MAX_LISTED_ENTRIES = 8
 REDIAL_AFTER_S = 2.5
 
 
@@ -104,6 +105,11 @@
             self.replied_at.pop(incarnation, None)
             forget_entry(self.quotas, incarnation)
 
+    def list_for_agent(self) -> list[PeerAddress]:
+        """Returns this entry and some others, bounded in number."""
+        count = min(MAX_LISTED_ENTRIES - 1, len(self.addresses))
+        return [self.own, *self.roster.rng.sample(self.addresses, count)]
+
     def probe(self) -> None:
         """Asks each other entry how lately it has reached the store."""
         now = self.clock()
--- a/src/jackdawkeel/messages/agents.py
+++ b/src/jackdawkeel/messages/agents.py
@@ -116,7 +116,7 @@
         lease_ms: Configuration lease in milliseconds from ``sent_at``; 0 for none.
         revision: The entry's configuration revision.
         configuration: What the agent needs of it, if the agent's is older.
-        entries: The live entries that the entry knows.
+        entries: The entry and some of the live ones that it knows.
         ejected: Whether the agent's own target should get no work but probes.
         peer_list: Number of the present list of peers; it changes with the list.
         peers: Agents that may run tasks for this agent, bounded in number; None if
