--- a/src/jackdawkeel/entry/http_server.py
+++ b/src/jackdawkeel/entry/http_server.py
@@ -31,6 +31,8 @@
 ACCEPT_QUEUE = 1024
 SOCKET_TIMEOUT_S = 30
 MS_PER_S = 1000
+# A body up to this size is read, so that its refusal is an answer like any other.
+MAX_READ_BYTES = 2 * MAX_BODY_BYTES
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,7 +101,7 @@
                 "server.thread_pool": self.threads,
                 "server.socket_queue_size": ACCEPT_QUEUE,
                 "server.socket_timeout": SOCKET_TIMEOUT_S,
-                "server.max_request_body_size": MAX_BODY_BYTES,
+                "server.max_request_body_size": MAX_READ_BYTES,
                 "error_page.default": _render_error,
                 "request.process_request_body": False,
                 "tools.trailing_slash.on": False,
--- a/tests/agent/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Tests of the package ``agent``."""
