Give each test process a loopback network of its own

Cause: pick_address finds a port that is free at that moment. The process then ended at once, and the fleet, which did not look at it while it waited for a store or a target, said "waited 20.0 s for a target". Two entries of KNOWN-RED.txt and one of its three cases show that message.

Change: processes listen in 127.(64+n).m.x, chosen by the process id of the test run. A stand-in that ends while it is waited for is named at once, with the ends of all logs. The entries stay until runs beside load have shown it.

--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -17,6 +17,7 @@
 
 from tests.standins.caller import Caller
 from tests.standins.processes import ManagedProcess
+from tests.standins.processes import own_host
 from tests.standins.processes import pick_address
 from tests.standins.processes import wait_until
 from tests.standins.proxy import FaultProxy
@@ -31,7 +32,7 @@
 FIRST_TICKET = 1
 FIRST_ENTRY_HOST = 2
 FIRST_AGENT_HOST = 11
-STAND_IN_HOST = "127.0.0.1"
+STAND_IN_HOST = 1
 AGENTS_PER_RACK = 3
 REQUEST_TIMEOUT_S = 5.0
 
@@ -120,10 +121,10 @@
             directory = tempfile.TemporaryDirectory(prefix="jackdawkeel-")
             self.folder = Path(stack.enter_context(directory))
             self.stack = stack
-            self._start_store()
-            self._start_agents()
-            self._start_entries()
             try:
+                self._start_store()
+                self._start_agents()
+                self._start_entries()
                 self._wait_until_ready()
             except BaseException:
                 self.print_tails()
@@ -143,11 +144,11 @@
         return process
 
     def _start_store(self) -> None:
-        address = pick_address(STAND_IN_HOST)
+        address = pick_address(own_host(STAND_IN_HOST))
         self.store_url = f"http://{address}"
         module = "tests.standins.store"
         self.store = self._run("store", module, "--listen", address)
-        wait_until(
+        self.wait_until(
             lambda: self.answers(f"{self.store_url}/control/record"), "the store"
         )
 
@@ -159,7 +160,7 @@
     def _start_agent(self, zone: str) -> AgentProcess:
         number = len(self.agents)
         target = self._start_target(number)
-        host = f"127.0.0.{FIRST_AGENT_HOST + number}"
+        host = own_host(FIRST_AGENT_HOST + number)
         link = pick_address(host)
         proxy, advertised = self._open_proxy(host, link)
         process = self._run(
@@ -173,18 +174,18 @@
         return AgentProcess(process, host, advertised, zone, target, proxy)
 
     def _start_target(self, number: int) -> Target:
-        address = pick_address(STAND_IN_HOST)
+        address = pick_address(own_host(STAND_IN_HOST))
         process = self._run(
             f"target-{number + 1}",
             *("tests.standins.target", "--listen", address, "--seed", str(number)),
         )
         url = f"http://{address}"
-        wait_until(lambda: self.answers(f"{url}/record"), "a target")
+        self.wait_until(lambda: self.answers(f"{url}/record"), "a target")
         return Target(process, url)
 
     def _start_entries(self) -> None:
         for number in range(self.entry_count):
-            host = f"127.0.0.{FIRST_ENTRY_HOST + number}"
+            host = own_host(FIRST_ENTRY_HOST + number)
             listen = pick_address(host)
             link = pick_address(host)
             proxy, advertised = self._open_proxy(host, link)
@@ -291,6 +292,6 @@
         return [member.proxy for member in members if member.proxy is not None]
 
     def print_tails(self) -> None:
-        """Prints the last lines of each log of the product to standard error."""
-        for process in self.product_processes():
+        """Prints the last lines of each log to standard error."""
+        for process in self.processes:
             print(process.tail(), file=sys.stderr)
--- a/tests/standins/platform_fleet.py
+++ b/tests/standins/platform_fleet.py
@@ -17,6 +17,7 @@
 from .platform_target import RunRecord
 from .platform_target import TargetIdentity
 from .processes import ManagedProcess
+from .processes import own_host
 from .processes import pick_address
 from .processes import wait_until
 
@@ -72,7 +73,9 @@
             self.folder = Path(folder)
             self.store = stack.enter_context(PlatformStoreStandin())
             self.put_configuration()
-            self.link_port = int(pick_address("127.0.0.1").rpartition(":")[2])
+            self.link_port = int(
+                pick_address(own_host(FIRST_ENTRY_HOST)).rpartition(":")[2]
+            )
             for index in range(self.entry_count):
                 self.entries.append(self._start_entry(stack, index))
             for index in range(self.agent_count):
@@ -168,7 +171,7 @@
         return "\n".join(handle.process.tail() for handle in handles)
 
     def _start_entry(self, stack: ExitStack, index: int) -> EntryHandle:
-        host = f"127.0.0.{FIRST_ENTRY_HOST + index}"
+        host = own_host(FIRST_ENTRY_HOST + index)
         callers, readiness = pick_address(host), pick_address(host)
         admin = pick_address(host)
         lines = {
@@ -180,7 +183,7 @@
         return EntryHandle(process, f"http://{callers}", f"http://{readiness}")
 
     def _start_agent(self, stack: ExitStack, index: int) -> AgentHandle:
-        host = f"127.0.0.{FIRST_AGENT_HOST + index}"
+        host = own_host(FIRST_AGENT_HOST + index)
         admin = pick_address(host)
         zone = ZONES[index % len(ZONES)]
         identity = TargetIdentity(f"i-{index}", SERVICE, zone, CORES, ["a", "r1"])
@@ -197,7 +200,7 @@
         host: str,
         lines: dict[str, str],
     ) -> ManagedProcess:
-        first = f"127.0.0.{FIRST_ENTRY_HOST}:{self.link_port}"
+        first = f"{own_host(FIRST_ENTRY_HOST)}:{self.link_port}"
         settings = {
             "nodeName": f"{role}-{index}",
             "ip": host,
--- a/tests/standins/processes.py
+++ b/tests/standins/processes.py
@@ -22,12 +22,24 @@
 REPOSITORY = Path(__file__).resolve().parent.parent.parent
 FIRST_PORT = 10_000
 FIRST_EPHEMERAL_PORT = 32_768
+FIRST_NETWORK = 64
+OWN_NETWORKS = 128 * 256
 POLL_S = 0.01
 DEFAULT_WAIT_S = 20.0
 LOG_TAIL_LINES = 20
 TASK_EVENT = '"message_type":"task_'
 
 
+def own_host(number: int) -> str:
+    """Returns a loopback IP number of a network that only this test process uses.
+
+    Another program beside the tests could otherwise take a port between its choice
+    and the start of the process that is to listen there.
+    """
+    network = os.getpid() % OWN_NETWORKS
+    return f"127.{FIRST_NETWORK + network // 256}.{network % 256}.{number}"
+
+
 def pick_address(host: str) -> str:
     """Returns an address that is free now and that no outgoing connection takes."""
     while True:
--- a/tests/standins/test_proxy.py
+++ b/tests/standins/test_proxy.py
@@ -6,13 +6,14 @@
 import unittest
 from contextlib import ExitStack
 
+from tests.standins.processes import own_host
 from tests.standins.processes import pick_address
 from tests.standins.proxy import Fault
 from tests.standins.proxy import FaultProxy
 
 
-HOST = "127.0.0.1"
-PEER_HOST = "127.0.0.9"
+HOST = own_host(1)
+PEER_HOST = own_host(9)
 WAIT_S = 20.0
 SILENCE_S = 0.1
 
