Run both platform daemons by one function; drop dead fields

run_entry and run_agent were one function with another role; signals and the counts of messages were wired in four daemons alike. QueueConfiguration.services and EntryNode.store were read by nothing.

--- a/src/jackdawkeel/agent/daemon.py
+++ b/src/jackdawkeel/agent/daemon.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import signal
 from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING
 
@@ -26,6 +25,7 @@
 from ..messages import PeerStatus
 from ..periodic import repeat_forever
 from ..periodic import restart_on_error
+from ..process_signals import handle_stop_signals
 from ..store.entries import list_entries
 from ..store.etcd import EtcdStore
 from ..target.client import TargetClient
@@ -211,7 +211,7 @@
     async def run(self) -> None:
         """Serves until told to stop and all work here has ended."""
         with self.node, self.target, self.store:
-            self._install_signals()
+            handle_stop_signals(self.loop, self.stop)
             tasks = [
                 asyncio.create_task(
                     restart_on_error(self._heartbeat_forever, self.log, HEARTBEAT_S)
@@ -226,10 +226,6 @@
             await asyncio.sleep(DRAIN_LINGER_S)
         self.threads.shutdown(wait=False)
 
-    def _install_signals(self) -> None:
-        for number in (signal.SIGTERM, signal.SIGINT):
-            self.loop.add_signal_handler(number, self.stop)
-
     def stop(self) -> None:
         """Begins the drain; a second call changes nothing."""
         if self.stopped.is_set():
--- a/src/jackdawkeel/entry/daemon.py
+++ b/src/jackdawkeel/entry/daemon.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import signal
 from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING
 
@@ -26,6 +25,7 @@
 from ..metrics import Metrics
 from ..periodic import repeat_forever
 from ..policy.quota import QuotaState
+from ..process_signals import handle_stop_signals
 from ..store.etcd import EtcdStore
 from .heartbeats import answer_heartbeat
 from .http_server import HttpServer
@@ -178,8 +178,7 @@
 
     async def run(self) -> None:
         """Serves until told to stop and all requests in flight are answered."""
-        for number in (signal.SIGTERM, signal.SIGINT):
-            self.loop.add_signal_handler(number, self.stop)
+        handle_stop_signals(self.loop, self.stop)
         server = HttpServer(
             host=self.settings.listen_host,
             port=self.settings.listen_port,
--- a/src/jackdawkeel/entry/metrics_report.py
+++ b/src/jackdawkeel/entry/metrics_report.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
+from ..link.message_counts import count_messages
 from ..metrics import CounterName
 from ..metrics import GaugeName
 
@@ -17,9 +18,7 @@
     """Takes over the counts that are kept elsewhere and renders all metrics."""
     metrics = entry.metrics
     node = entry.node
-    metrics.replace_counts(CounterName.MESSAGES_SENT, node.sent)
-    metrics.replace_counts(CounterName.MESSAGES_RECEIVED, node.received)
-    metrics.replace_counts(CounterName.MESSAGES_DROPPED, node.dropped)
+    count_messages(metrics, node)
     metrics.replace_counts(CounterName.ENVELOPES_SENT, _count_envelopes(entry))
     received = {entry.address.incarnation: node.envelopes_received}
     metrics.replace_counts(CounterName.ENVELOPES_RECEIVED, received)
--- a/src/jackdawkeel/platform/configuration.py
+++ b/src/jackdawkeel/platform/configuration.py
@@ -31,7 +31,6 @@
     return QueueConfiguration(
         version=raw.version,
         queues=tuple(_decode_route(route) for route in raw.routes),
-        services=frozenset(service.name for service in raw.services),
         limits=Limits(raw.limits.max_body_bytes),
     )
 
--- a/src/jackdawkeel/platform/deployment.py
+++ b/src/jackdawkeel/platform/deployment.py
@@ -1,19 +1,27 @@
-"""What both daemons on the platform need: settings, and where operators write."""
+"""What both daemons on the platform share: their run, and where operators write."""
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
+from typing import Protocol
 
 from ..errors import StartError
+from ..events import EventName
+from ..job_id import mint_incarnation
+from ..logs import EventLog
 from ..scheduling.operator_keys import OperatorKeys
 from . import configuration
 from .settings import read_settings
+from .store import PlatformStore
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Mapping
 
     from ..scheduling.process_settings import ProcessSettings
+    from ..store.interface import Store
 
 
 OPERATOR_KEYS = OperatorKeys(
@@ -24,6 +32,41 @@
 )
 
 
+class Node(Protocol):
+    """An entry or an agent."""
+
+    async def run(self) -> None:
+        """Serves until told to stop and what is in flight has ended."""
+
+
+def run_daemon(
+    role: str,
+    environment: Mapping[str, str],
+    make_node: Callable[[ProcessSettings, EventLog, Store], Node],
+) -> int:
+    """Runs a process until it is told to stop; returns the exit code.
+
+    Args:
+        role: What the process is, for its log.
+        environment: The environment variables.
+        make_node: Creates the entry or the agent; called on the running loop.
+
+    Raises:
+        StartError: If the settings are bad or an address can't be listened on.
+    """
+    settings = require_settings(environment)
+
+    async def run_node(log: EventLog) -> None:
+        with PlatformStore(settings.store) as store:
+            await make_node(settings, log, store).run()
+
+    with EventLog(role, mint_incarnation(), settings.availability_zone) as log:
+        log.record(EventName.PROCESS_STARTED, node=settings.node, link=settings.link)
+        asyncio.run(run_node(log))
+        log.record(EventName.PROCESS_STOPPED, node=settings.node)
+    return 0
+
+
 def require_settings(environment: Mapping[str, str]) -> ProcessSettings:
     """Reads the settings of this process.
 
--- a/src/jackdawkeel/platform/entry_daemon.py
+++ b/src/jackdawkeel/platform/entry_daemon.py
@@ -2,25 +2,22 @@
 
 from __future__ import annotations
 
-import asyncio
 from typing import TYPE_CHECKING
 
-from ..events import EventName
-from ..job_id import mint_incarnation
-from ..logs import EventLog
 from ..scheduling.caller_interface import CallerInterface
 from ..scheduling.entry_node import EntryNode
 from . import caller_api
 from .deployment import OPERATOR_KEYS
-from .deployment import require_settings
-from .store import PlatformStore
+from .deployment import run_daemon
 from .submissions import name_task
 
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from ..logs import EventLog
     from ..scheduling.process_settings import ProcessSettings
+    from ..store.interface import Store
 
 
 CALLERS = CallerInterface(
@@ -41,17 +38,8 @@
     Raises:
         StartError: If the settings are bad or an address can't be listened on.
     """
-    settings = require_settings(environment)
-    with EventLog("entry", mint_incarnation(), settings.availability_zone) as log:
-        log.record(EventName.PROCESS_STARTED, node=settings.node, link=settings.link)
-        asyncio.run(_run_entry(settings, log, metrics_port))
-        log.record(EventName.PROCESS_STOPPED, node=settings.node)
-    return 0
-
-
-async def _run_entry(
-    settings: ProcessSettings, log: EventLog, metrics_port: int
-) -> None:
-    with PlatformStore(settings.store) as store:
-        node = EntryNode(settings, log, store, OPERATOR_KEYS, CALLERS, metrics_port)
-        await node.run()
+
+    def make_node(settings: ProcessSettings, log: EventLog, store: Store) -> EntryNode:
+        return EntryNode(settings, log, store, OPERATOR_KEYS, CALLERS, metrics_port)
+
+    return run_daemon("entry", environment, make_node)
--- a/src/jackdawkeel/platform/wire.py
+++ b/src/jackdawkeel/platform/wire.py
@@ -126,12 +126,6 @@
     target_latency_ms: int = 0
 
 
-class WireService(msgspec.Struct, frozen=True, rename="camel"):
-    """A service in the operators' configuration."""
-
-    name: str
-
-
 class WireLimits(msgspec.Struct, frozen=True, rename="camel"):
     """Limits in the operators' configuration."""
 
@@ -143,7 +137,6 @@
 
     version: int
     routes: list[WireRoute] = []
-    services: list[WireService] = []
     limits: WireLimits = WireLimits()
 
 
--- /dev/null
+++ b/src/jackdawkeel/process_signals.py
@@ -0,0 +1,35 @@
+"""What a process does when it is signalled."""
+
+from __future__ import annotations
+
+import signal
+from typing import TYPE_CHECKING
+
+from .events import EventName
+
+
+if TYPE_CHECKING:
+    import asyncio
+    from collections.abc import Callable
+
+    from .logs import EventLog
+
+
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+
+def handle_stop_signals(
+    loop: asyncio.AbstractEventLoop, stop: Callable[[], None]
+) -> None:
+    """Has a process drain when it is told to stop."""
+    for number in STOP_SIGNALS:
+        loop.add_signal_handler(number, stop)
+
+
+def note_reload_signals(loop: asyncio.AbstractEventLoop, log: EventLog) -> None:
+    """Logs a reload; settings that change come from the store, not with a signal."""
+
+    def note() -> None:
+        log.record(EventName.SETTINGS_RELOADED, reason="SIGHUP")
+
+    loop.add_signal_handler(signal.SIGHUP, note)
--- a/src/jackdawkeel/scheduling/agent_node.py
+++ b/src/jackdawkeel/scheduling/agent_node.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import signal
 from contextlib import ExitStack
 from typing import TYPE_CHECKING
 
@@ -11,6 +10,7 @@
 from ..events import EventName
 from ..http_messages import TEXT_TYPE
 from ..http_messages import HttpResponse
+from ..link.message_counts import count_messages
 from ..link.node import LinkNode
 from ..messages import PeerAddress
 from ..messages import WrongRecipient
@@ -20,6 +20,8 @@
 from ..metrics import CounterName
 from ..metrics import Metrics
 from ..periodic import repeat_forever
+from ..process_signals import handle_stop_signals
+from ..process_signals import note_reload_signals
 from ..setting_values import Address
 from .agent_http import AgentHttpServer
 from .agent_reports import AgentReports
@@ -177,9 +179,7 @@
 
     def _answer_metrics(self) -> HttpResponse:
         metrics = self.metrics
-        metrics.replace_counts(CounterName.MESSAGES_SENT, self.node.sent)
-        metrics.replace_counts(CounterName.MESSAGES_RECEIVED, self.node.received)
-        metrics.replace_counts(CounterName.MESSAGES_DROPPED, self.node.dropped)
+        count_messages(metrics, self.node)
         metrics.replace_counts(CounterName.TASKS, self.executor.counts)
         return HttpResponse(200, metrics.render_text().encode(), TEXT_TYPE)
 
@@ -187,9 +187,8 @@
 
     async def run(self) -> None:
         """Runs tasks until told to stop and all of them have ended."""
-        for number in (signal.SIGTERM, signal.SIGINT):
-            self.loop.add_signal_handler(number, self.stop)
-        self.loop.add_signal_handler(signal.SIGHUP, self._note_reload)
+        handle_stop_signals(self.loop, self.stop)
+        note_reload_signals(self.loop, self.log)
         heartbeats = self.settings.heartbeats
         assert heartbeats is not None, "an agent has an address for its target"
         metrics = Address(self.settings.host, self.metrics_port)
@@ -226,9 +225,6 @@
             self.reports.send_all()
             self.stopped.set()
 
-    def _note_reload(self) -> None:
-        self.log.record(EventName.SETTINGS_RELOADED, reason="SIGHUP")
-
     async def _drain(self) -> None:
         exit_by = self.clock() + self.settings.bounds.shutdown_s - EXIT_MARGIN_S
         while self.executor.by_run and self.clock() < exit_by:
--- a/src/jackdawkeel/scheduling/entry_node.py
+++ b/src/jackdawkeel/scheduling/entry_node.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import random
-import signal
 from contextlib import ExitStack
 from dataclasses import replace
 from typing import TYPE_CHECKING
@@ -16,6 +15,7 @@
 from ..events import EventName
 from ..http_messages import TEXT_TYPE
 from ..http_messages import HttpResponse
+from ..link.message_counts import count_messages
 from ..link.node import LinkNode
 from ..messages import PeerAddress
 from ..messages.scheduling import AgentReport
@@ -25,6 +25,8 @@
 from ..metrics import HistogramName
 from ..metrics import Metrics
 from ..periodic import repeat_forever
+from ..process_signals import handle_stop_signals
+from ..process_signals import note_reload_signals
 from ..setting_values import Address
 from .agent_views import AgentViews
 from .caller_calls import CancelCall
@@ -107,7 +109,6 @@
             schedule_soon=self.schedule_soon,
             rng=random.Random(log.incarnation),
         )
-        self.store = store
         self.follower = StoreFollower(store, self.operators, log, self.schedule_soon)
         self.registration = Registration(store, self.address, log)
         self.schedule_planned = False
@@ -263,9 +264,7 @@
         configuration = self.operators.configuration
         version = 0 if configuration is None else configuration.version
         metrics.set_gauge(GaugeName.CONFIGURATION_REVISION, version)
-        metrics.replace_counts(CounterName.MESSAGES_SENT, self.node.sent)
-        metrics.replace_counts(CounterName.MESSAGES_RECEIVED, self.node.received)
-        metrics.replace_counts(CounterName.MESSAGES_DROPPED, self.node.dropped)
+        count_messages(metrics, self.node)
         body = metrics.render_text().encode()
         return HttpResponse(200, body, TEXT_TYPE)
 
@@ -273,9 +272,8 @@
 
     async def run(self) -> None:
         """Serves until told to stop and what is in flight is answered."""
-        for number in (signal.SIGTERM, signal.SIGINT):
-            self.loop.add_signal_handler(number, self.stop)
-        self.loop.add_signal_handler(signal.SIGHUP, self._note_reload)
+        handle_stop_signals(self.loop, self.stop)
+        note_reload_signals(self.loop, self.log)
         callers = self.settings.callers
         assert callers is not None, "an entry has an address for callers"
         further = [Address(self.settings.host, self.metrics_port)]
@@ -324,9 +322,6 @@
             self.log.record(EventName.DRAINING, in_flight=self.in_flight)
             self.stopped.set()
 
-    def _note_reload(self) -> None:
-        self.log.record(EventName.SETTINGS_RELOADED, reason="SIGHUP")
-
     async def _drain(self) -> None:
         began_at = self.clock()
         exit_by = began_at + self.settings.bounds.shutdown_s - EXIT_MARGIN_S
--- a/src/jackdawkeel/scheduling/specification.py
+++ b/src/jackdawkeel/scheduling/specification.py
@@ -87,7 +87,6 @@
 
     version: int
     queues: tuple[Queue, ...] = ()
-    services: frozenset[str] = frozenset()
     limits: Limits = field(default_factory=Limits)
 
     def find_queue(self, host: str, path: str) -> Queue | None:
