Serve what still fits while an entry shuts down

The refusal was untrue for short jobs.

Change: a draining entry takes a job whose expected run fits twice before its end, and ends as soon as nothing is in flight once the balancer has left it out. The decision is fits_before in policy/waiting.py, with a test that failed before.

--- a/src/jackdawkeel/policy/waiting.py
+++ b/src/jackdawkeel/policy/waiting.py
@@ -18,6 +18,9 @@
 # A job that has not started is refused when it would end after this many objectives:
 # by then its caller is better served by coming back, and the room by a job in time.
 MAX_END_FACTOR = 1.5
+# A process that must end takes a job that fits twice before its end, as a failed or
+# stuck task is run once more.
+RUNS_BEFORE_END = 2
 # Shortest and longest delay that a refused caller is told, in seconds.
 MIN_RETRY_S = 1.0
 MAX_RETRY_S = 10.0
@@ -70,6 +73,17 @@
     return now + expected_wait_s > timing.last_useful_start
 
 
+def fits_before(
+    timing: JobTiming, now: float, expected_wait_s: float, end_at: float
+) -> bool:
+    """Returns whether a process that ends at a moment should still take a job.
+
+    Load it answers: operators restart entries one after the other while others fail,
+    and callers have no entry but those that shut down.
+    """
+    return now + expected_wait_s + RUNS_BEFORE_END * timing.expected_s <= end_at
+
+
 def choose_retry_s(expected_wait_s: float, rng: random.Random) -> float:
     """Returns when a refused caller may come back, spread over the expected wait."""
     base = min(max(expected_wait_s, MIN_RETRY_S), MAX_RETRY_S)
--- a/src/jackdawkeel/scheduling/entry_node.py
+++ b/src/jackdawkeel/scheduling/entry_node.py
@@ -57,7 +57,7 @@
 # Requests that wait at once; each holds a thread that does nothing.
 CALLER_THREADS = 160
 # After SIGTERM the balancer sends new connections for about two of its checks.
-ACCEPT_AFTER_STOP_S = 2.6
+LEAVE_ROTATION_S = 2.6
 # Time kept for the answers and the exit at the end of a shutdown.
 EXIT_MARGIN_S = 0.7
 DRAIN_POLL_S = 0.05
@@ -324,12 +324,14 @@
 
     async def _drain(self) -> None:
         began_at = self.clock()
-        exit_by = began_at + self.settings.bounds.shutdown_s - EXIT_MARGIN_S
-        while self.clock() < exit_by:
-            is_late = self.clock() >= began_at + ACCEPT_AFTER_STOP_S
-            self.is_refusing = is_late
-            if is_late and not self.in_flight:
+        end_at = began_at + self.settings.bounds.shutdown_s - EXIT_MARGIN_S
+        self.scheduler.end_at = end_at
+        while self.clock() < end_at:
+            is_known = self.clock() >= began_at + LEAVE_ROTATION_S
+            if is_known and not self.in_flight:
+                self.is_refusing = True
                 return
             await asyncio.sleep(DRAIN_POLL_S)
+        self.is_refusing = True
         self.scheduler.abandon_all()
         await asyncio.sleep(DRAIN_POLL_S)
--- a/src/jackdawkeel/scheduling/job_scheduler.py
+++ b/src/jackdawkeel/scheduling/job_scheduler.py
@@ -16,6 +16,7 @@
 from ..policy.packing import place_tasks
 from ..policy.waiting import JobTiming
 from ..policy.waiting import choose_retry_s
+from ..policy.waiting import fits_before
 from ..policy.waiting import is_hopeless
 from ..policy.waiting import rank_job
 from .job import Job
@@ -102,6 +103,7 @@
         self.next_number = 1
         self.next_stop_at: dict[int, float] = {}
         self.run_times = RunTimes()
+        self.end_at: float | None = None
 
     # Calls of callers.
 
@@ -170,8 +172,14 @@
         if not all(can_ever_run(step, rooms) for step in job.spec.steps):
             text = "no target in service is large enough for its tasks"
             return self._refuse(job, ErrorKind.NO_TARGET, text)
+        now = self.clock()
         wait_s = self.expect_wait_s(job, rooms)
-        if not is_hopeless(job.timing, self.clock(), wait_s):
+        if self.end_at is not None and not fits_before(
+            job.timing, now, wait_s, self.end_at
+        ):
+            text = "this entry shuts down before the job could end"
+            return self._refuse(job, ErrorKind.SHUTTING_DOWN, text)
+        if not is_hopeless(job.timing, now, wait_s):
             return None
         retry_s = choose_retry_s(wait_s, self.rng)
         text = f"the job would wait about {wait_s:.1f} s and end too late"
--- a/tests/scheduling/test_job_scheduler.py
+++ b/tests/scheduling/test_job_scheduler.py
@@ -331,6 +331,15 @@
         self.assertEqual(waiting.error.kind, ErrorKind.OVERLOADED)
         self.assertLess(self.clock(), 1002)
 
+    def test_an_entry_that_shuts_down_takes_only_jobs_that_fit(self) -> None:
+        self.scheduler.end_at = self.clock() + 1.0
+        short, long = StepSpec(1, CORE, 100), StepSpec(1, CORE, 800)
+        job, _ = self.submit(JobSpec("4" * 16, "", (short,)))
+        self.assertIsInstance(job, Job)
+        job, _ = self.submit(JobSpec("5" * 16, "", (long,)))
+        assert isinstance(job, DispatchError)
+        self.assertEqual(job.kind, ErrorKind.SHUTTING_DOWN)
+
     def test_a_job_that_no_target_can_hold_is_refused_at_once(self) -> None:
         step = StepSpec(1, Resources(5000, 64), 100)
         job, _ = self.submit(JobSpec("4" * 16, "", (step,)))
