Soak the platform processes under seeded faults from outside

What: scripts/soak starts entries and agents as processes, with stand-ins of store and targets, callers that keep their connections, and a proxy before each address. Seeded faults kill, terminate, pause and restart processes, silence links one way, delay, cut and silence connections, let the store refuse, cut, lose answers or stay silent, let targets fail, slow down, crash, carry out orders late, and change configuration and zones, in series and overlapping. The judge looks at runs, answers, configuration, drains, evacuations and the recovery.

--- a/src/jackdawkeel/console/commands/platform.py
+++ b/src/jackdawkeel/console/commands/platform.py
@@ -3,43 +3,49 @@
 from __future__ import annotations
 
 import os
+from typing import TYPE_CHECKING
 
+from ...settings import ADVERTISE
 from ...settings import METRICS_PORT
 from ...settings import PLATFORM_OPTIONS
-from ...settings import read_metrics_port
+from ...settings import read_daemon_options
 from ..command import Command
 from ..usage import require_settings
 
 
-def entry(*, metrics_port: str | None = None) -> int:
+if TYPE_CHECKING:
+    from ...settings import DaemonOptions
+
+
+def entry(*, metrics_port: str | None = None, advertise: str | None = None) -> int:
     """Runs an entry until it is told to stop.
 
     Raises:
         UsageError: If a setting is missing or bad.
     """
-    port = _read_port(metrics_port)
+    options = _read_options(metrics_port, advertise)
 
     from ...platform.entry_daemon import run_entry
 
-    return run_entry(os.environ, port)
+    return run_entry(os.environ, options)
 
 
-def agent(*, metrics_port: str | None = None) -> int:
+def agent(*, metrics_port: str | None = None, advertise: str | None = None) -> int:
     """Runs an agent until it is told to stop.
 
     Raises:
         UsageError: If a setting is missing or bad.
     """
-    port = _read_port(metrics_port)
+    options = _read_options(metrics_port, advertise)
 
     from ...platform.agent_daemon import run_agent
 
-    return run_agent(os.environ, port)
+    return run_agent(os.environ, options)
 
 
-def _read_port(metrics_port: str | None) -> int:
-    flags = {METRICS_PORT.name: metrics_port}
-    return require_settings(read_metrics_port(flags, os.environ))
+def _read_options(metrics_port: str | None, advertise: str | None) -> DaemonOptions:
+    flags = {METRICS_PORT.name: metrics_port, ADVERTISE.name: advertise}
+    return require_settings(read_daemon_options(flags, os.environ))
 
 
 ENTRY_COMMAND = Command(
--- a/src/jackdawkeel/platform/agent_daemon.py
+++ b/src/jackdawkeel/platform/agent_daemon.py
@@ -19,6 +19,7 @@
 
     from ..logs import EventLog
     from ..scheduling.process_settings import ProcessSettings
+    from ..settings import DaemonOptions
     from ..store.interface import Store
 
 
@@ -29,7 +30,7 @@
 )
 
 
-def run_agent(environment: Mapping[str, str], metrics_port: int) -> int:
+def run_agent(environment: Mapping[str, str], options: DaemonOptions) -> int:
     """Runs an agent until it is told to stop; returns the exit code.
 
     Raises:
@@ -41,7 +42,7 @@
             raise StartError("the settings name no target")
         runtime = PlatformTargetRuntime(settings.target)
         return AgentNode(
-            settings, log, store, OPERATOR_KEYS, runtime, TARGETS, metrics_port
+            settings, log, store, OPERATOR_KEYS, runtime, TARGETS, options.metrics_port
         )
 
-    return run_daemon("agent", environment, AGENT_TIMES, make_node)
+    return run_daemon("agent", environment, options, AGENT_TIMES, make_node)
--- a/src/jackdawkeel/platform/deployment.py
+++ b/src/jackdawkeel/platform/deployment.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Protocol
 
@@ -21,6 +22,7 @@
     from collections.abc import Mapping
 
     from ..scheduling.process_settings import ProcessSettings
+    from ..settings import DaemonOptions
     from ..store.interface import Store
     from .store_times import StoreTimes
 
@@ -43,6 +45,7 @@
 def run_daemon(
     role: str,
     environment: Mapping[str, str],
+    options: DaemonOptions,
     times: StoreTimes,
     make_node: Callable[[ProcessSettings, EventLog, Store], Node],
 ) -> int:
@@ -51,6 +54,7 @@
     Args:
         role: What the process is, for its log.
         environment: The environment variables.
+        options: The product's own settings.
         times: How long calls of the store may take.
         make_node: Creates the entry or the agent; called on the running loop.
 
@@ -58,6 +62,8 @@
         StartError: If the settings are bad or an address can't be listened on.
     """
     settings = require_settings(environment)
+    if options.advertised is not None:
+        settings = replace(settings, advertised=options.advertised)
 
     async def run_node(log: EventLog) -> None:
         with PlatformStore(settings.store, times) as store:
--- a/src/jackdawkeel/platform/entry_daemon.py
+++ b/src/jackdawkeel/platform/entry_daemon.py
@@ -18,6 +18,7 @@
 
     from ..logs import EventLog
     from ..scheduling.process_settings import ProcessSettings
+    from ..settings import DaemonOptions
     from ..store.interface import Store
 
 
@@ -33,7 +34,7 @@
 )
 
 
-def run_entry(environment: Mapping[str, str], metrics_port: int) -> int:
+def run_entry(environment: Mapping[str, str], options: DaemonOptions) -> int:
     """Runs an entry until it is told to stop; returns the exit code.
 
     Raises:
@@ -41,6 +42,8 @@
     """
 
     def make_node(settings: ProcessSettings, log: EventLog, store: Store) -> EntryNode:
-        return EntryNode(settings, log, store, OPERATOR_KEYS, CALLERS, metrics_port)
+        return EntryNode(
+            settings, log, store, OPERATOR_KEYS, CALLERS, options.metrics_port
+        )
 
-    return run_daemon("entry", environment, ENTRY_TIMES, make_node)
+    return run_daemon("entry", environment, options, ENTRY_TIMES, make_node)
--- a/src/jackdawkeel/scheduling/agent_node.py
+++ b/src/jackdawkeel/scheduling/agent_node.py
@@ -73,7 +73,7 @@
         self.runtime = runtime
         self.metrics_port = metrics_port
         self.loop = asyncio.get_running_loop()
-        self.address = PeerAddress(log.incarnation, settings.link)
+        self.address = PeerAddress(log.incarnation, settings.dialled_link)
         self.metrics = Metrics({"availability_zone": settings.availability_zone})
         self.target = TargetState(settings.availability_zone, self.clock, log)
         self.target_link = TargetLink(runtime, self.target, self.clock, log)
--- a/src/jackdawkeel/scheduling/entry_node.py
+++ b/src/jackdawkeel/scheduling/entry_node.py
@@ -86,7 +86,7 @@
         self.callers = callers
         self.metrics_port = metrics_port
         self.loop = asyncio.get_running_loop()
-        self.address = PeerAddress(log.incarnation, settings.link)
+        self.address = PeerAddress(log.incarnation, settings.dialled_link)
         self.metrics = Metrics({"availability_zone": settings.availability_zone})
         self.operators = OperatorState(keys, log)
         self.node = LinkNode(
--- a/src/jackdawkeel/scheduling/process_settings.py
+++ b/src/jackdawkeel/scheduling/process_settings.py
@@ -37,6 +37,7 @@
         store: Address of the store.
         target: Address of the agent's target; None on an entry.
         bounds: Times of the deployment.
+        advertised: Address that other processes dial; None for the link itself.
     """
 
     node: str
@@ -50,8 +51,14 @@
     store: Address
     target: Address | None
     bounds: TimeBounds
+    advertised: Address | None = None
 
     @property
     def link(self) -> str:
         """Where the process listens for other processes."""
         return f"tcp://{self.host}:{self.link_port}"
+
+    @property
+    def dialled_link(self) -> str:
+        """Where other processes reach it."""
+        return self.link if self.advertised is None else self.advertised.link
--- a/src/jackdawkeel/settings.py
+++ b/src/jackdawkeel/settings.py
@@ -98,7 +98,7 @@
     "metrics_port", "PORT", "where metrics are served", str(DEFAULT_METRICS_PORT)
 )
 
-PLATFORM_OPTIONS = (METRICS_PORT,)
+PLATFORM_OPTIONS = (METRICS_PORT, ADVERTISE)
 ENTRY_OPTIONS = (LISTEN, LINK, ADVERTISE, STORE, AVAILABILITY_ZONE, THREADS)
 AGENT_OPTIONS = (
     LINK,
@@ -114,6 +114,19 @@
 CLIENT_OPTIONS = (ENTRY, TIMEOUT_MS)
 
 
+@dataclass(frozen=True, slots=True)
+class DaemonOptions:
+    """The product's own settings of a process on the platform.
+
+    Attributes:
+        metrics_port: Port where metrics are served.
+        advertised: The link address that other processes are told; None for the link.
+    """
+
+    metrics_port: int
+    advertised: Address | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class EntrySettings:
     """Settings of an entry.
@@ -227,9 +240,16 @@
 
 
 @as_result(SettingError)
-def read_metrics_port(flags: Flags, environment: Environment) -> int:
-    """Reads and validates the port of the metrics; a flag goes first."""
-    return _read(METRICS_PORT, _limit_count(MAX_PORT), flags, environment)
+def read_daemon_options(flags: Flags, environment: Environment) -> DaemonOptions:
+    """Reads and validates the product's own settings on the platform.
+
+    A flag goes before its environment variable.
+    """
+    metrics_port = _read(METRICS_PORT, _limit_count(MAX_PORT), flags, environment)
+    if read_text(ADVERTISE, flags, environment) is None:
+        return DaemonOptions(metrics_port)
+    advertised = _read(ADVERTISE, parse_dialled_address, flags, environment)
+    return DaemonOptions(metrics_port, advertised)
 
 
 def read_text(option: Option, flags: Flags, environment: Environment) -> str | None:
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,50 @@
+"""Runs soaks by hand: ``scripts/soak --seed N --seconds S``."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from pathlib import Path
+
+from tests.soak.faults import FAULTS
+from tests.soak.soak import SoakSize
+from tests.soak.soak import run_soak
+
+
+KEPT_LOGS = Path("target") / "soak"
+
+
+def main() -> int:
+    """Runs the soaks that the arguments ask for; returns the exit code."""
+    parser = argparse.ArgumentParser(prog="scripts/soak")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seeds", type=int, default=1, help="seeds from there on")
+    parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--entries", type=int, default=2)
+    parser.add_argument("--agents", type=int, default=3)
+    parser.add_argument("--callers", type=int, default=6)
+    parser.add_argument("--kinds", nargs="+", choices=list(FAULTS))
+    parser.add_argument("--untimed", action="store_true", help="judge no time bounds")
+    arguments = parser.parse_args()
+    size = SoakSize(arguments.entries, arguments.agents, arguments.callers)
+    failed = 0
+    for seed in range(arguments.seed, arguments.seed + arguments.seeds):
+        report = run_soak(
+            seed,
+            arguments.seconds,
+            size,
+            is_timed=not arguments.untimed,
+            kinds=arguments.kinds,
+            keep=KEPT_LOGS,
+        )
+        failed += bool(report.findings)
+        faults = sum(report.faults.values())
+        print(f"seed {seed}: {faults} faults, jobs {dict(report.jobs)}", flush=True)
+        for finding in report.findings:
+            print(f"  {finding}", flush=True)
+    print(f"{arguments.seeds} seeds, {failed} with findings")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/standins/platform_fleet.py
+++ b/tests/standins/platform_fleet.py
@@ -4,6 +4,7 @@
 
 import json
 import tempfile
+import time
 from contextlib import ExitStack
 from dataclasses import dataclass
 from pathlib import Path
@@ -20,6 +21,7 @@
 from .processes import own_host
 from .processes import pick_address
 from .processes import wait_until
+from .proxy import FaultProxy
 
 
 ZONES = ("north", "middle", "south")
@@ -28,8 +30,11 @@
 SERVICE = "svc"
 FIRST_ENTRY_HOST = 31
 FIRST_AGENT_HOST = 61
+# Nobody listens there: a seed would lead around the proxies.
+STALE_SEED_HOST = 250
 CORES = 4
 DEADLINE_MS = 60_000
+QUESTION_TIMEOUT_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,11 +45,13 @@
         process: The process.
         url: Where callers reach it.
         readiness: Where its readiness is asked for.
+        proxies: Proxies by what they stand before, if the fleet is proxied.
     """
 
     process: ManagedProcess
     url: str
     readiness: str
+    proxies: dict[str, FaultProxy]
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,17 +61,35 @@
     process: ManagedProcess
     target: PlatformTargetStandin
     zone: str
+    proxies: dict[str, FaultProxy]
+
+
+def version_path(version: int) -> str:
+    """Returns the prefix of the queue that only this version has."""
+    return f"/version-{version}/"
 
 
 class PlatformFleet:
-    """Owns all processes and stand-ins; everything it starts ends with it."""
+    """Owns all processes and stand-ins; everything it starts ends with it.
+
+    Args:
+        entries: Number of entries.
+        agents: Number of agents.
+        proxied: Whether callers, peers, the store and targets are reached through
+            proxies.
+    """
 
-    def __init__(self, entries: int = 2, agents: int = 3) -> None:
+    def __init__(
+        self, entries: int = 2, agents: int = 3, proxied: bool = False
+    ) -> None:
+        self.proxied = proxied
         self.entry_count = entries
         self.agent_count = agents
         self.entries: list[EntryHandle] = []
         self.agents: list[AgentHandle] = []
         self.version = 0
+        self.version_times: dict[int, float] = {}
+        self.store_links: dict[str, str] = {}
         self.calls = urllib3.PoolManager(retries=False, maxsize=64)
 
     def __enter__(self) -> Self:
@@ -90,6 +115,7 @@
     def put_configuration(self, **route: Any) -> None:
         """Writes a new version of the configuration, as the operator does."""
         self.version += 1
+        written = self.version
         first = {
             "name": "r-1",
             "host": HOST,
@@ -102,10 +128,14 @@
         }
         document = {
             "version": self.version,
-            "routes": [first | route],
+            "routes": [
+                first | route,
+                first | {"name": "r-v", "prefix": version_path(self.version)},
+            ],
             "services": [{"name": SERVICE}],
         }
         self.store.put("op/config", json.dumps(document).encode())
+        self.version_times[written] = time.monotonic()
 
     def is_ready(self) -> bool:
         """Returns whether every entry is ready and sees the room of every agent."""
@@ -130,18 +160,31 @@
         count: int = 2,
         timeout_s: float = 10.0,
         estimate_ms: int = 100,
+        deadline_ms: int = DEADLINE_MS,
+        calls: urllib3.PoolManager | None = None,
     ) -> urllib3.BaseHTTPResponse:
         """Submits a job and waits for its answer."""
         step = {"count": count, "cpu": 1000, "memMb": 64, "estimateMs": estimate_ms}
         body = {"spec": "text", "bestEffort": True, "steps": [step]}
-        return self.calls.request(
+        return (calls or self.calls).request(
             "POST",
             f"{self.entries[entry].url}{PREFIX}{job_id}",
             body=json.dumps(body).encode(),
-            headers={"Host": HOST, "Deadline-Ms": str(DEADLINE_MS)},
+            headers={"Host": HOST, "Deadline-Ms": str(deadline_ms)},
             timeout=timeout_s,
         )
 
+    def has_version(self, entry: EntryHandle, version: int) -> bool | None:
+        """Returns whether an entry has a version in force; None without an answer."""
+        url = f"{entry.url}{version_path(version)}"
+        try:
+            answer = self.calls.request(
+                "GET", url, headers={"Host": HOST}, timeout=QUESTION_TIMEOUT_S
+            )
+        except urllib3.exceptions.HTTPError:
+            return None
+        return {200: True, 404: False}.get(answer.status)
+
     def runs(self) -> list[RunRecord]:
         """Returns every run at every target."""
         return [run for agent in self.agents for run in list(agent.target.runs)]
@@ -179,8 +222,12 @@
             "bindAddresses.readiness": readiness,
             "bindAddresses.admin": admin,
         }
-        process = self._start(stack, "entry", index, host, lines)
-        return EntryHandle(process, f"http://{callers}", f"http://{readiness}")
+        proxies, shown = self._open_proxies(
+            stack, host, {"link": f"{host}:{self.link_port}", "callers": callers}
+        )
+        process = self._start(stack, "entry", index, host, lines, shown["link"])
+        url = f"http://{shown['callers']}"
+        return EntryHandle(process, url, f"http://{readiness}", proxies)
 
     def _start_agent(self, stack: ExitStack, index: int) -> AgentHandle:
         host = own_host(FIRST_AGENT_HOST + index)
@@ -188,9 +235,28 @@
         zone = ZONES[index % len(ZONES)]
         identity = TargetIdentity(f"i-{index}", SERVICE, zone, CORES, ["a", "r1"])
         target = stack.enter_context(PlatformTargetStandin(identity, admin))
-        lines = {"bindAddresses.admin": admin, "app": target.address}
-        process = self._start(stack, "agent", index, host, lines)
-        return AgentHandle(process, target, zone)
+        proxies, shown = self._open_proxies(
+            stack,
+            host,
+            {"link": f"{host}:{self.link_port}", "target": target.address},
+        )
+        lines = {"bindAddresses.admin": admin, "app": shown["target"]}
+        process = self._start(stack, "agent", index, host, lines, shown["link"])
+        return AgentHandle(process, target, zone, proxies)
+
+    def _open_proxies(
+        self, stack: ExitStack, host: str, upstreams: dict[str, str]
+    ) -> tuple[dict[str, FaultProxy], dict[str, str]]:
+        """Returns the proxies of a process, and the addresses to reach it by."""
+        if not self.proxied:
+            return {}, upstreams
+        upstreams = {"store": self.store.address} | upstreams
+        proxies = {
+            name: stack.enter_context(FaultProxy(pick_address(host), upstream))
+            for name, upstream in upstreams.items()
+        }
+        self.store_links[host] = proxies["store"].address
+        return proxies, {name: proxy.address for name, proxy in proxies.items()}
 
     def _start(
         self,
@@ -199,15 +265,16 @@
         index: int,
         host: str,
         lines: dict[str, str],
+        advertised: str,
     ) -> ManagedProcess:
-        first = f"{own_host(FIRST_ENTRY_HOST)}:{self.link_port}"
+        seed_host = own_host(STALE_SEED_HOST if self.proxied else FIRST_ENTRY_HOST)
         settings = {
             "nodeName": f"{role}-{index}",
             "ip": host,
             "zone": ZONES[index % len(ZONES)],
             "portRange": f"{self.link_port},{self.link_port + 15}",
-            "seeds": first,
-            "platform.address": self.store.address,
+            "seeds": f"{seed_host}:{self.link_port}",
+            "platform.address": self.store_links.get(host, self.store.address),
             "bounds.maxHoldMs": "1000",
             "bounds.graceS": "6",
             "bounds.retransmitMs": "1300",
@@ -220,6 +287,6 @@
                 f"{role}-{index}",
                 ["jackdawkeel", "platform", role],
                 self.folder,
-                {"JACKDAWKEEL_BOOT": str(path)},
+                {"JACKDAWKEEL_BOOT": str(path), "JACKDAWKEEL_ADVERTISE": advertised},
             )
         )
--- a/tests/standins/platform_target.py
+++ b/tests/standins/platform_target.py
@@ -65,6 +65,7 @@
         lose_start_answers: The next so many starts are carried out without answer.
         delay_starts: The next so many starts get no answer and are carried out late.
         delay_s: How late they are.
+        clock_rate: How fast the target's clock goes in its next life.
     """
 
     run_s: float = DEFAULT_RUN_S
@@ -72,6 +73,7 @@
     lose_start_answers: int = 0
     delay_starts: int = 0
     delay_s: float = 0.0
+    clock_rate: float = 1.0
 
 
 @dataclass(slots=True)
@@ -93,6 +95,7 @@
         faults: What is wrong with it.
         state: The state in its heartbeats.
         acknowledged_drains: Heartbeats with ``draining`` that were acknowledged.
+        drain_acknowledged_at: When the first was; infinity before.
     """
 
     def __init__(self, identity: TargetIdentity, agent_address: str) -> None:
@@ -101,6 +104,7 @@
         self.faults = TargetFaults()
         self.state = "ready"
         self.acknowledged_drains = 0
+        self.drain_acknowledged_at = float("inf")
         self.runs: list[RunRecord] = []
         self.changed = threading.Condition()
         self.stopped = threading.Event()
@@ -135,6 +139,7 @@
     def _begin_life(self) -> None:
         self.born = int(time.time() * MS_PER_S)
         self.began_at = time.monotonic()
+        self.clock_rate = self.faults.clock_rate
         self.sequence = 0
         self.lease_until = 0.0
         self.fence = 0
@@ -144,7 +149,8 @@
         self.barred: dict[str, int] = {}
 
     def _clock_ms(self) -> int:
-        return 1 + int((time.monotonic() - self.began_at) * MS_PER_S)
+        age_s = time.monotonic() - self.began_at
+        return 1 + int(self.clock_rate * age_s * MS_PER_S)
 
     def _advance(self) -> None:
         while not self.stopped.wait(STEP_S):
@@ -181,6 +187,8 @@
                 continue
             if state == "draining" and answer.status == 200:
                 self.acknowledged_drains += 1
+                now = time.monotonic()
+                self.drain_acknowledged_at = min(self.drain_acknowledged_at, now)
 
     def _describe(self, state: str) -> dict[str, Any]:
         room = {"cpu": self.identity.cores * 1000, "memMb": 65536, "gpu": 0}
