Forget the stops of foreign runs that have ended

An agent that restarts stops what its former process ran; it kept the time of the next stop for each such run for good. Now kept only while the target lists the run. The new test failed before.

--- a/src/jackdawkeel/scheduling/task_executor.py
+++ b/src/jackdawkeel/scheduling/task_executor.py
@@ -339,6 +339,11 @@
         for run in list(self.by_run.values()):
             if run.run not in listed:
                 self._handle_absent(run, asked_at)
+        self.next_stop_at = {
+            key: at
+            for key, at in self.next_stop_at.items()
+            if key in listed or key in self.by_run
+        }
         self.start_waiting()
 
     def _handle_end(self, end: EndedTask) -> None:
--- a/tests/scheduling/test_task_executor.py
+++ b/tests/scheduling/test_task_executor.py
@@ -256,6 +256,11 @@
         self.take_listing(foreign)
         self.assertEqual(self.stopped, [foreign])
 
+    def test_a_run_of_an_earlier_process_is_forgotten_with_its_end(self) -> None:
+        self.take_listing(Run("foreign", 3))
+        self.take_listing()
+        self.assertEqual(self.executor.next_stop_at, {})
+
     def test_a_new_life_of_an_entry_ends_what_the_former_one_owned(self) -> None:
         self.give(make_order(1))
         self.confirm(*self.started)
