Keep runs that a new life of a target has started

Change: a new life ends no run by itself; the listing that tells of it does, for each run that it does not name.

--- a/src/jackdawkeel/scheduling/target_link.py
+++ b/src/jackdawkeel/scheduling/target_link.py
@@ -162,7 +162,7 @@
     def _begin_life(self, born_ms: int) -> None:
         if self.target.born_ms:
             self.log.record(EventName.TARGET_GONE, born_ms=self.target.born_ms)
-            self.tasks.handle_target_gone()
+            self.tasks.handle_new_life()
         self.target.born_ms = born_ms
         self.acknowledged = 0
 
--- a/src/jackdawkeel/scheduling/task_executor.py
+++ b/src/jackdawkeel/scheduling/task_executor.py
@@ -376,9 +376,17 @@
             self._finish(run, TaskStatus.LOST)
 
     def handle_target_gone(self) -> None:
-        """Takes it that the target has ended with all that it ran."""
+        """Takes it that all that the target ran has ended."""
         for run in list(self.by_run.values()):
             self._finish(run, TaskStatus.LOST)
+        self.handle_new_life()
+
+    def handle_new_life(self) -> None:
+        """Takes it that the target has begun a new life.
+
+        Which runs ended with the former life only a listing tells: the new one may
+        have started some before it was known.
+        """
         self.next_stop_at.clear()
         self.attempts = AttemptNumbers()
 
--- a/tests/scheduling/test_task_executor.py
+++ b/tests/scheduling/test_task_executor.py
@@ -4,6 +4,7 @@
 
 import unittest
 from typing import TYPE_CHECKING
+from unittest.mock import Mock
 
 from jackdawkeel.messages.scheduling import JobOrders
 from jackdawkeel.messages.scheduling import StartTasks
@@ -11,6 +12,7 @@
 from jackdawkeel.messages.scheduling import TaskStatus
 from jackdawkeel.scheduling.leases import OWNER_LEASE_S
 from jackdawkeel.scheduling.resources import Resources
+from jackdawkeel.scheduling.target_link import TargetLink
 from jackdawkeel.scheduling.target_report import TargetReport
 from jackdawkeel.scheduling.target_runtime import EndedTask
 from jackdawkeel.scheduling.target_runtime import EndKind
@@ -250,6 +252,21 @@
         )
         self.assertEqual(self.executor.free_room().cpu_millis, 2000)
 
+    def test_a_run_that_the_next_life_of_the_target_started_is_not_lost(self) -> None:
+        self.give(make_order(1), make_order(2))
+        self.confirm(*self.started)
+        former, latter = [run.run for run in self.started]
+        link = TargetLink(Mock(), self.target, self.clock, make_log())
+        link.executor = self.executor
+        self.target.born_ms = 1
+        self.clock.advance(0.1)
+        listing = Listing(2, [RunningTask(latter, 10.0)], ())
+        link._take_listing(listing, self.clock())
+        self.assertEqual(self.statuses()[-1], (1, TaskStatus.LOST))
+        self.assertNotIn((2, TaskStatus.LOST), self.statuses())
+        self.assertNotIn(former, self.executor.by_run)
+        self.assertIn(latter, self.executor.by_run)
+
     def test_runs_of_an_earlier_process_are_stopped(self) -> None:
         foreign = Run("foreign", 3)
         self.take_listing(foreign)
