--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -21,8 +21,12 @@
 
 MAX_TASKS = 6
 PAUSE_S = 0.2
-RETRY_PAUSE_S = 0.3
+# Without an answer a job is sent again after this time: the platform's bound
+# ``retransmitMs``, on which the leases rest. After a refusal it may be any time.
+RETRANSMIT_S = 1.3
+REFUSED_PAUSE_S = 0.3
 MAX_ATTEMPTS = 4
+REFUSED = 503
 DEADLINE_MS = 6000
 # What a caller waits beyond the deadline that it has named.
 PATIENCE_S = 2.0
@@ -68,7 +72,7 @@
     def is_refused(self) -> bool:
         """Whether its caller was told each time that nothing runs."""
         return bool(self.attempts) and all(
-            attempt.status == 503 or not attempt.was_connected
+            attempt.status == REFUSED or not attempt.was_connected
             for attempt in self.attempts
         )
 
@@ -129,7 +133,8 @@
             job.attempts.append(attempt)
             if attempt.status == 200 or self.stopping.is_set():
                 return
-            self.stopping.wait(RETRY_PAUSE_S)
+            is_refused = attempt.status == REFUSED
+            self.stopping.wait(REFUSED_PAUSE_S if is_refused else RETRANSMIT_S)
 
     def _send(self, job: SoakJob, entry: int, calls: urllib3.PoolManager) -> Attempt:
         status, state, was_connected = 0, "", True
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -117,17 +117,18 @@
 def _end_process(disruptions: Disruptions, handle: Process, kind: str) -> End:
     name = handle.process.name
     span = disruptions.begin(name, kind)
+    signalled = handle.process.process
     if kind == "kill":
         handle.process.kill()
     else:
         handle.process.terminate()
 
     def end() -> None:
-        with suppress(TimeoutExpired):
-            handle.process.wait(max(0.0, span.began_at + GRACE_S - time.monotonic()))
-        if handle.process.is_running:
-            handle.process.kill()
-        handle.process.start()
+        # An overlapping fault may have started the process again already.
+        if handle.process.process is signalled:
+            with suppress(TimeoutExpired):
+                signalled.wait(max(0.0, span.began_at + GRACE_S - time.monotonic()))
+            handle.process.restart()
         span.ended_at = time.monotonic()
 
     return end
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -30,6 +30,7 @@
 MAX_FAULT_S = 4.0
 SERIES_SHARE = 0.25
 MAX_SERIES = 3
+RUN_TIMES_S = (0.1, 0.3, 1.0, 2.5)
 RECOVERY_S = 15.0
 # For a machine with other work, where only the recovery itself is judged.
 PATIENT_RECOVERY_S = 60.0
@@ -110,6 +111,9 @@
         fleet = stack.enter_context(
             PlatformFleet(size.entries, size.agents, proxied=True)
         )
+        run_s = random.Random(seed).choice(RUN_TIMES_S)
+        for agent in fleet.agents:
+            agent.target.faults.run_s = run_s
         disruptions = Disruptions(fleet)
         callers = SoakCallers(fleet, seed, size.callers)
         judge = Judge(fleet, callers, disruptions, is_timed)
