--- a/src/jackdawkeel/console/commands/timeline.py
+++ b/src/jackdawkeel/console/commands/timeline.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import os
 import sys
 from pathlib import Path
 
+from ...settings import Option
+from ...settings import read_text
 from ..arguments import STANDARD_INPUT
 from ..command import Command
 from ..command import ExitCode
@@ -14,15 +17,20 @@
 from ..usage import require_file
 
 
-def show_timeline(*logs: str) -> int:
+JOB = Option("job", "ID", "only the events that name this job")
+
+
+def show_timeline(*logs: str, job: str | None = None) -> int:
     """Prints the merged events of all logs and returns the exit code.
 
     Raises:
         UsageError: If a log can't be read.
     """
     merged = merge_events([_read_lines(log) for log in logs])
+    job_id = read_text(JOB, {JOB.name: job}, os.environ)
     for event in merged.events:
-        print(render_event(event))
+        if job_id is None or job_id in event.fields.values():
+            print(render_event(event))
     if merged.damaged:
         print_error(f"{merged.damaged} damaged lines were ignored")
     return ExitCode.DONE
@@ -40,4 +48,5 @@
     run=show_timeline,
     arguments=("LOG",),
     takes_more=True,
+    options=(JOB,),
 )
--- a/src/jackdawkeel/console/merged_events.py
+++ b/src/jackdawkeel/console/merged_events.py
@@ -77,9 +77,13 @@
 
 
 def parse_event(line: bytes) -> LoggedEvent | None:
-    """Parses a line of an event log; returns None if it is damaged."""
+    """Parses a line of an event log; returns None if it is damaged.
+
+    What a collector of logs has put before the event, such as a host name, is ignored.
+    """
     try:
-        fields = msgspec.json.decode(line, type=dict[str, Any])
+        start = max(0, line.find(b"{"))
+        fields = msgspec.json.decode(line[start:], type=dict[str, Any])
         common = msgspec.convert(fields, type=LogLine)
         time = datetime.fromtimestamp(common.timestamp, UTC)
     except (ValueError, OverflowError, OSError, RecursionError):
--- a/tests/console/test_timeline.py
+++ b/tests/console/test_timeline.py
@@ -68,6 +68,19 @@
         self.assertEqual(merged.events, [])
         self.assertEqual(merged.damaged, len(DAMAGED_LINES))
 
+    def test_what_a_collector_puts_before_an_event_is_ignored(self) -> None:
+        event = parse_event(b'   4.1084 vm-1 {"timestamp": 5, "message_type": "ready"}')
+        assert event is not None
+        self.assertEqual("ready", event.line.message_type)
+
+    def test_events_of_one_job(self) -> None:
+        whole = call("timeline", ENTRY_LOG, AGENT_LOG).output.splitlines()
+        job_id = "aaaaaaaaaaaaaaaa.1.00112233445566778899aabb"
+        done = call("timeline", "--job", job_id, ENTRY_LOG, AGENT_LOG)
+        wanted = [line for line in whole if f"={job_id}" in line]
+        self.assertEqual(wanted, done.output.splitlines())
+        self.assertTrue(wanted)
+
     def test_every_event_is_one_line(self) -> None:
         lines: list[bytes] = []
         log = EventLog("agent", "0123456789abcdef", "we st", lines.append)
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -8,19 +8,28 @@
 import msgspec
 
 from jackdawkeel.console.commands import job
+from jackdawkeel.console.commands import timeline
 from jackdawkeel.errors import ERROR_TABLE
 from jackdawkeel.events import EventName
 from jackdawkeel.metrics import DESCRIPTIONS
 from jackdawkeel.settings import AGENT_OPTIONS
 from jackdawkeel.settings import CLIENT_OPTIONS
 from jackdawkeel.settings import ENTRY_OPTIONS
+from jackdawkeel.settings import PLATFORM_OPTIONS
 from jackdawkeel.ticket import AvailabilityZoneModel
 from jackdawkeel.ticket import ServiceModel
 from jackdawkeel.ticket import TeamModel
 
 
 DOCS = Path(__file__).parent.parent / "docs"
-OPTIONS = {*ENTRY_OPTIONS, *AGENT_OPTIONS, *CLIENT_OPTIONS, *job.COMMAND.options}
+OPTIONS = {
+    *ENTRY_OPTIONS,
+    *AGENT_OPTIONS,
+    *CLIENT_OPTIONS,
+    *PLATFORM_OPTIONS,
+    *job.COMMAND.options,
+    *timeline.COMMAND.options,
+}
 TICKET_FIELDS = {
     field.name
     for model in (ServiceModel, AvailabilityZoneModel, TeamModel)
