--- /dev/null
+++ b/tests/standins/json_server.py
@@ -0,0 +1,56 @@
+"""What the HTTP servers of the stand-ins share."""
+
+from __future__ import annotations
+
+import json
+from http.server import BaseHTTPRequestHandler
+from http.server import ThreadingHTTPServer
+from typing import Any
+
+
+class QuietServer(ThreadingHTTPServer):
+    """A server with a thread for each connection; ends with the process."""
+
+    daemon_threads = True
+    request_queue_size = 128
+
+    def handle_error(self, request: Any, client_address: Any) -> None:
+        """Stays quiet when a client goes away."""
+
+
+class JsonHandler(BaseHTTPRequestHandler):
+    """Answers requests with JSON and keeps connections open."""
+
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+    wbufsize = -1
+
+    def do_GET(self) -> None:
+        self.respond()
+
+    def do_POST(self) -> None:
+        self.respond()
+
+    def do_DELETE(self) -> None:
+        self.respond()
+
+    def respond(self) -> None:
+        """Answers a request of any method."""
+        raise NotImplementedError
+
+    def log_message(self, format: str, *args: Any) -> None:  # noqa: A002
+        """Keeps the output free of a line per request."""
+
+    def read_body(self) -> bytes:
+        """Returns the body of the request."""
+        return self.rfile.read(int(self.headers.get("Content-Length", 0)))
+
+    def reply(self, status: int, answer: dict[str, Any]) -> None:
+        """Sends an answer."""
+        body = json.dumps(answer).encode()
+        self.send_response(status)
+        self.send_header("Content-Type", "application/json")
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+        self.wfile.flush()
--- a/tests/standins/platform_http.py
+++ b/tests/standins/platform_http.py
@@ -5,14 +5,15 @@
 import json
 import threading
 from dataclasses import dataclass
-from http.server import BaseHTTPRequestHandler
-from http.server import ThreadingHTTPServer
 from typing import TYPE_CHECKING
 from typing import Any
 from typing import Self
 from urllib.parse import parse_qsl
 from urllib.parse import urlsplit
 
+from .json_server import JsonHandler
+from .json_server import QuietServer
+
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -61,41 +62,20 @@
         self.server.server_close()
 
 
-class _Server(ThreadingHTTPServer):
-    daemon_threads = True
-    request_queue_size = 128
-
+class _Server(QuietServer):
     def __init__(
         self, address: tuple[str, int], handle: Callable[[Call], tuple[int, Body]]
     ) -> None:
         self.handle = handle
         super().__init__(address, _Handler)
 
-    def handle_error(self, request: Any, client_address: Any) -> None:
-        """Stays quiet when a client goes away."""
 
-
-class _Handler(BaseHTTPRequestHandler):
-    protocol_version = "HTTP/1.1"
-    disable_nagle_algorithm = True
-    wbufsize = -1
+class _Handler(JsonHandler):
     server: _Server
 
-    def do_GET(self) -> None:
-        self._respond()
-
-    def do_POST(self) -> None:
-        self._respond()
-
-    def do_DELETE(self) -> None:
-        self._respond()
-
-    def log_message(self, format: str, *args: Any) -> None:  # noqa: A002
-        """Keeps the output free of a line per request."""
-
-    def _respond(self) -> None:
-        length = int(self.headers.get("Content-Length", 0))
-        text = self.rfile.read(length)
+    def respond(self) -> None:
+        """Hands the request to the stand-in and sends its answer."""
+        text = self.read_body()
         parts = urlsplit(self.path)
         call = Call(
             method=self.command,
@@ -108,10 +88,4 @@
         if status == NO_ANSWER:
             self.close_connection = True
             return
-        body = json.dumps(answer).encode()
-        self.send_response(status)
-        self.send_header("Content-Type", "application/json")
-        self.send_header("Content-Length", str(len(body)))
-        self.end_headers()
-        self.wfile.write(body)
-        self.wfile.flush()
+        self.reply(status, answer)
--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -17,12 +17,11 @@
 import time
 from collections import Counter
 from dataclasses import dataclass
-from http.server import BaseHTTPRequestHandler
-from http.server import ThreadingHTTPServer
 from typing import TYPE_CHECKING
-from typing import Any
 from typing import Self
 
+from .json_server import JsonHandler
+from .json_server import QuietServer
 from .store_calls import UNARY_CALLS
 from .store_calls import Body
 from .store_calls import decode
@@ -137,48 +136,43 @@
                 self.data.expire_leases()
 
 
-class _Server(ThreadingHTTPServer):
-    daemon_threads = True
-    request_queue_size = 128
-
+class _Server(QuietServer):
     def __init__(self, address: tuple[str, int], standin: StoreStandin) -> None:
         self.standin = standin
         super().__init__(address, _Handler)
 
-    def handle_error(self, request: Any, client_address: Any) -> None:
-        """Stays quiet when a client goes away."""
-
 
-class _Handler(BaseHTTPRequestHandler):
-    protocol_version = "HTTP/1.1"
-    disable_nagle_algorithm = True
-    wbufsize = -1
+class _Handler(JsonHandler):
     server: _Server
 
     def setup(self) -> None:
         super().setup()
         self.generation = self.server.standin.connection_generation
 
-    def do_GET(self) -> None:
+    def respond(self) -> None:
+        """Answers a call of the store, or of who controls the stand-in."""
+        if self.command == "GET":
+            self._answer_get()
+        else:
+            self._answer_post()
+
+    def _answer_get(self) -> None:
         if self.path == "/control/record":
-            self._reply(200, self.server.standin.record())
+            self.reply(200, self.server.standin.record())
         else:
-            self._reply(404, {"message": "Not Found"})
+            self.reply(404, {"message": "Not Found"})
 
-    def do_POST(self) -> None:
+    def _answer_post(self) -> None:
         standin = self.server.standin
-        body = json.loads(self.rfile.read(int(self.headers.get("Content-Length", 0))))
+        body = json.loads(self.read_body())
         if self.path == "/control":
             standin.control(body)
-            self._reply(200, {})
+            self.reply(200, {})
         elif self.path not in CALL_KINDS:
-            self._reply(404, {"message": "Not Found"})
+            self.reply(404, {"message": "Not Found"})
         elif not self._suffer(standin):
             self._handle(standin, body)
 
-    def log_message(self, format: str, *args: Any) -> None:  # noqa: A002
-        """Keeps the output free of a line per request."""
-
     def _suffer(self, standin: StoreStandin) -> bool:
         if self.generation != standin.connection_generation:
             standin.stopped.wait()
@@ -192,7 +186,7 @@
             self.close_connection = True
             return True
         if standin.faults.down:
-            self._reply(503, {"code": 14, "message": standin.faults.refusal})
+            self.reply(503, {"code": 14, "message": standin.faults.refusal})
             return True
         return False
 
@@ -205,16 +199,7 @@
         if (self.path, status) == ("/v3/kv/txn", 200) and standin.take_lost_answer():
             self.close_connection = True
             return
-        self._reply(status, answer)
-
-    def _reply(self, status: int, answer: Body) -> None:
-        body = json.dumps(answer).encode()
-        self.send_response(status)
-        self.send_header("Content-Type", "application/json")
-        self.send_header("Content-Length", str(len(body)))
-        self.end_headers()
-        self.wfile.write(body)
-        self.wfile.flush()
+        self.reply(status, answer)
 
     def _stream(self, standin: StoreStandin, create: Body) -> None:
         self.close_connection = True
