--- /dev/null
+++ b/tests/test_process_signals.py
@@ -0,0 +1,41 @@
+"""Signals reach the loop of a process."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import unittest
+
+from jackdawkeel.events import EventName
+from jackdawkeel.logs import EventLog
+from jackdawkeel.process_signals import STOP_SIGNALS
+from jackdawkeel.process_signals import handle_stop_signals
+from jackdawkeel.process_signals import note_reload_signals
+
+
+WAIT_S = 20.0
+
+
+class ProcessSignalsTest(unittest.IsolatedAsyncioTestCase):
+    async def test_each_stop_signal_asks_for_a_drain(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number in STOP_SIGNALS:
+            with self.subTest(number):
+                asked = asyncio.Event()
+                handle_stop_signals(loop, asked.set)
+                os.kill(os.getpid(), number)
+                await asyncio.wait_for(asked.wait(), WAIT_S)
+        for number in STOP_SIGNALS:
+            loop.remove_signal_handler(number)
+
+    async def test_a_reload_is_logged_and_ends_nothing(self) -> None:
+        loop = asyncio.get_running_loop()
+        lines: list[bytes] = []
+        log = EventLog("entry", "0" * 16, "north", lines.append)
+        note_reload_signals(loop, log)
+        os.kill(os.getpid(), signal.SIGHUP)
+        async with asyncio.timeout(WAIT_S):
+            while EventName.SETTINGS_RELOADED.value.encode() not in b"".join(lines):
+                await asyncio.sleep(0)
+        loop.remove_signal_handler(signal.SIGHUP)
--- /dev/null
+++ b/tests/test_wsgi_server.py
@@ -0,0 +1,84 @@
+"""The HTTP server: what it hands on, and its end."""
+
+from __future__ import annotations
+
+import socket
+import threading
+import unittest
+from concurrent.futures import ThreadPoolExecutor
+from typing import TYPE_CHECKING
+from typing import Any
+
+import urllib3
+
+from jackdawkeel.errors import StartError
+from jackdawkeel.wsgi_server import SOCKET_KEY
+from jackdawkeel.wsgi_server import WsgiServer
+from tests.standins.processes import own_host
+from tests.standins.processes import pick_address
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+
+WAIT_S = 20.0
+
+
+class WsgiServerTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.address = pick_address(own_host(1))
+        host, port = self.address.rsplit(":", 1)
+        self.entered = threading.Event()
+        self.released = threading.Event()
+        self.sockets: list[object] = []
+        self.server = WsgiServer(
+            host=host,
+            port=int(port),
+            threads=2,
+            max_body_bytes=100,
+            application=self.respond,
+        )
+        self.calls = urllib3.PoolManager(retries=False, timeout=WAIT_S)
+
+    def respond(
+        self, environment: dict[str, Any], start_response: Callable[..., object]
+    ) -> Iterable[bytes]:
+        """Answers when the test lets it."""
+        self.sockets.append(environment[SOCKET_KEY])
+        self.entered.set()
+        self.released.wait(WAIT_S)
+        start_response("200 OK", [("Content-Length", "4")])
+        return [b"done"]
+
+    def get(self) -> bytes:
+        """Requests anything."""
+        return self.calls.request("GET", f"http://{self.address}/").data
+
+    def test_hands_on_the_socket_of_a_request(self) -> None:
+        self.released.set()
+        self.server.start()
+        self.addCleanup(self.server.stop)
+        self.assertEqual(b"done", self.get())
+        self.assertIsInstance(self.sockets[0], socket.socket)
+
+    def test_a_stop_waits_for_the_request_under_way(self) -> None:
+        self.server.start()
+        with ThreadPoolExecutor(2) as threads:
+            answer = threads.submit(self.get)
+            self.assertTrue(self.entered.wait(WAIT_S))
+            stopping = threads.submit(self.server.stop)
+            self.released.set()
+            self.assertEqual(b"done", answer.result(WAIT_S))
+            stopping.result(WAIT_S)
+        with self.assertRaises(urllib3.exceptions.HTTPError):
+            self.get()
+
+    def test_an_address_that_is_taken(self) -> None:
+        host, port = self.address.rsplit(":", 1)
+        with (
+            socket.create_server((host, int(port))),
+            self.assertRaises(StartError),
+        ):
+            self.server.start()
