--- /dev/null
+++ b/bench/shared_room/__main__.py
@@ -0,0 +1,145 @@
+"""Compares ways in which entries share the room of targets under a burst.
+
+Usage: .venv/bin/python -m bench.shared_room [--seconds 16] [--seed 1]
+
+The load: 52 targets of 32 cores, eight entries in three availability zones, one zone
+with two entries for as many callers as the others have three for; jobs of 2, 4 and 8
+tasks of 2.5 cores that take 0.12 to 1.8 s; 0.7 of the cores, and a burst beyond them.
+"""
+
+from __future__ import annotations
+
+import argparse
+import random
+from collections import defaultdict
+
+from bench.shared_room.simulator import REFUSED
+from bench.shared_room.simulator import Simulator
+from bench.shared_room.simulator import Way
+from bench.shared_room.state import ModelAgent
+from bench.shared_room.state import ModelEntry
+from bench.shared_room.state import ModelJob
+from jackdawkeel.policy.waiting import JobTiming
+from jackdawkeel.scheduling.resources import Resources
+from jackdawkeel.scheduling.specification import StepSpec
+
+
+ZONES = ("a", "b", "c")
+TARGETS = 52
+CAPACITY = Resources(32_000, 131_072)
+DEMAND = Resources(2_500, 64)
+# Tasks, run time in seconds, jobs a second: the kinds of the grown arrivals site.
+KINDS = ((8, 0.12, 103.0), (4, 1.8, 18.8), (2, 0.4, 300.0))
+RUN_SPREAD = 0.4
+STRETCH = 2.0
+OBJECTIVE_S = 0.06
+DEADLINE_S = 15.0
+BURST_S = (4.0, 8.0)
+BURST_FACTOR = 1.8
+
+WAYS = {
+    "owner first (today)": Way(),
+    "all told at once": Way(tells_all=True),
+    "orders wait at agents, 1 each, after 0.05 s": Way(
+        parks=1, park_after_s=0.05, park_s=0.2
+    ),
+    "orders wait at agents, 1 each": Way(parks=1, park_s=0.2),
+    "orders wait at agents, 1 each, 0.5 s": Way(parks=1, park_s=0.5),
+    "orders wait at agents, 3 each": Way(parks=3, park_s=0.2),
+}
+
+
+def build_entries() -> list[ModelEntry]:
+    """Returns three entries in two zones and two in the third."""
+    counts = {"a": 3, "b": 3, "c": 2}
+    return [
+        ModelEntry(f"{zone}{index}", zone, 1 / len(ZONES) / counts[zone])
+        for zone in ZONES
+        for index in range(counts[zone])
+    ]
+
+
+def build_agents() -> list[ModelAgent]:
+    """Returns the agents over all zones."""
+    return [
+        ModelAgent(f"t{index}", ZONES[index % len(ZONES)], CAPACITY, CAPACITY)
+        for index in range(TARGETS)
+    ]
+
+
+def make_job(
+    entry: ModelEntry, moment: float, tasks: int, usual_s: float, rng: random.Random
+) -> ModelJob:
+    """Returns a job whose run times are spread around the usual one."""
+    expected_s = usual_s
+    timing = JobTiming(
+        priority=0,
+        arrived_at=moment,
+        expected_s=expected_s,
+        objective_s=STRETCH * expected_s + OBJECTIVE_S,
+        deadline_at=moment + DEADLINE_S,
+    )
+    run_s = [usual_s * rng.lognormvariate(0.0, RUN_SPREAD) for _ in range(tasks)]
+    step = StepSpec(tasks, DEMAND, round(1000 * usual_s))
+    return ModelJob(entry, timing, step, run_s, list(range(tasks)), tasks)
+
+
+def generate_jobs(
+    entries: list[ModelEntry], seconds: float, burst: float, rng: random.Random
+) -> list[ModelJob]:
+    """Returns the jobs of a run, open-loop, with a burst."""
+    jobs = []
+    for tasks, usual_s, rate in KINDS:
+        moment = 0.0
+        while moment < seconds:
+            is_burst = BURST_S[0] <= moment < BURST_S[1]
+            moment += rng.expovariate(rate * (burst if is_burst else 1.0))
+            entry = rng.choices(entries, [entry.share for entry in entries])[0]
+            jobs.append(make_job(entry, moment, tasks, usual_s, rng))
+    return jobs
+
+
+def measure(way: Way, seconds: float, seed: int, burst: float) -> dict[str, float]:
+    """Plays one way and returns its figures."""
+    entries = build_entries()
+    simulator = Simulator(entries, build_agents(), way, seed)
+    jobs = generate_jobs(entries, seconds, burst, random.Random(seed))
+    for job in jobs:
+        simulator.at(job.timing.arrived_at, simulator.submit, job)
+    simulator.run(seconds + DEADLINE_S)
+    in_time: dict[str, list[bool]] = defaultdict(list)
+    for job in jobs:
+        if not BURST_S[0] <= job.timing.arrived_at < BURST_S[1] + 1.0:
+            continue
+        due = job.timing.arrived_at + job.timing.objective_s
+        in_time[job.entry.zone].append(0.0 < job.ended_at <= due)
+    everywhere = [is_met for zone in in_time.values() for is_met in zone]
+    refused = sum(job.ended_at == REFUSED for job in jobs)
+    return {
+        "in time": _share(everywhere),
+        "zones of 3": _share(in_time["a"] + in_time["b"]),
+        "zone of 2": _share(in_time["c"]),
+        "refused": refused / len(jobs),
+        "messages a task": simulator.messages / sum(len(job.run_s) for job in jobs),
+    }
+
+
+def _share(values: list[bool]) -> float:
+    return sum(values) / max(1, len(values))
+
+
+def main() -> None:
+    """Prints a row for each way."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=float, default=16.0)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--burst", type=float, default=BURST_FACTOR)
+    arguments = parser.parse_args()
+    for name, way in WAYS.items():
+        figures = measure(way, arguments.seconds, arguments.seed, arguments.burst)
+        shown = ", ".join(f"{key} {value:.3f}" for key, value in figures.items())
+        print(f"{name}: {shown}", flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/bench/test_shared_room.py
@@ -0,0 +1,42 @@
+"""The model of entries that share room: its load, and that it loses no job."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from bench.shared_room.__main__ import WAYS
+from bench.shared_room.__main__ import build_agents
+from bench.shared_room.__main__ import build_entries
+from bench.shared_room.__main__ import generate_jobs
+from bench.shared_room.simulator import REFUSED
+from bench.shared_room.simulator import Simulator
+
+
+SECONDS = 1.0
+LONG_S = 30.0
+NO_BURST = 1.0
+
+
+class SharedRoomTest(unittest.TestCase):
+    def test_each_job_ends_or_is_refused_and_all_room_is_free_again(self) -> None:
+        for name, way in WAYS.items():
+            with self.subTest(name):
+                entries, agents = build_entries(), build_agents()
+                simulator = Simulator(entries, agents, way, seed=1)
+                jobs = generate_jobs(entries, SECONDS, NO_BURST, random.Random(1))
+                for job in jobs:
+                    simulator.at(job.timing.arrived_at, simulator.submit, job)
+                simulator.run(LONG_S)
+                self.assertTrue(all(job.ended_at for job in jobs))
+                self.assertFalse(any(job.ended_at == REFUSED for job in jobs))
+                self.assertFalse(any(job.open_tasks for job in jobs))
+                for agent in agents:
+                    self.assertEqual(agent.capacity, agent.free)
+
+    def test_callers_of_each_zone_are_as_many(self) -> None:
+        shares: dict[str, float] = {}
+        for entry in build_entries():
+            shares[entry.zone] = shares.get(entry.zone, 0.0) + entry.share
+        for share in shares.values():
+            self.assertAlmostEqual(1 / 3, share)
