Name the scheduler's trigger and a target's incarnation by the usual terms

ScheduleTurns becomes ScheduleTrigger, with terms of scheduling instead of looks and turns; a target's new life becomes its incarnation, as the glossary has it. The interval of 5 ms is a twelfth of the shortest objective, not a fortieth. Two suppressed errors say why nothing is lost.

--- a/bench/shared_room/simulator.py
+++ b/bench/shared_room/simulator.py
@@ -19,7 +19,7 @@
 from jackdawkeel.policy.waiting import rank_job
 from jackdawkeel.scheduling.agent_reports import CHANGE_INTERVAL_S
 from jackdawkeel.scheduling.leases import REPORT_INTERVAL_S
-from jackdawkeel.scheduling.schedule_turns import CROWDED_PAUSE_S
+from jackdawkeel.scheduling.schedule_trigger import CROWDED_PAUSE_S
 
 
 if TYPE_CHECKING:
--- a/src/jackdawkeel/platform/store_watch.py
+++ b/src/jackdawkeel/platform/store_watch.py
@@ -106,6 +106,7 @@
         self.closed = True
         waiting = self.connection.sock
         if waiting is not None:
+            # The store may have closed it at this moment.
             with suppress(OSError):
                 waiting.shutdown(socket.SHUT_RDWR)
         self.connection.close()
--- a/src/jackdawkeel/scheduling/entry_node.py
+++ b/src/jackdawkeel/scheduling/entry_node.py
@@ -38,7 +38,7 @@
 from .job_scheduler import JobScheduler
 from .operator_state import OperatorState
 from .registration import Registration
-from .schedule_turns import ScheduleTurns
+from .schedule_trigger import ScheduleTrigger
 from .store_follower import StoreFollower
 
 
@@ -100,7 +100,7 @@
         self.views = AgentViews(
             settings.availability_zone, self.clock, log, self.node.redial
         )
-        self.turns = ScheduleTurns(self.loop, self.clock, self._schedule)
+        self.trigger = ScheduleTrigger(self.loop, self.clock, self._schedule)
         self.scheduler = JobScheduler(
             clock=self.clock,
             log=log,
@@ -108,10 +108,10 @@
             send=self.node.send,
             name_task=callers.name_task,
             evacuated_zones=lambda: self.operators.evacuated_zones,
-            schedule_soon=self.turns.plan,
+            schedule_soon=self.trigger.plan,
             rng=random.Random(log.incarnation),
         )
-        self.follower = StoreFollower(store, self.operators, log, self.turns.plan)
+        self.follower = StoreFollower(store, self.operators, log, self.trigger.plan)
         self.registration = Registration(store, self.address, log)
         self.in_flight = 0
         self.is_listening = False
--- /dev/null
+++ b/src/jackdawkeel/scheduling/schedule_trigger.py
@@ -0,0 +1,63 @@
+"""Decides when an entry runs its scheduler."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+
+if TYPE_CHECKING:
+    import asyncio
+    from collections.abc import Callable
+
+    from ..clock import Clock
+
+
+# A twelfth of the shortest objective of the deployments' queues, 60 ms.
+CROWDED_PAUSE_S = 0.005
+
+
+class ScheduleTrigger:
+    """Coalesces requests to run the scheduler.
+
+    Load it answers: while jobs wait for room, every report of an agent requests a run,
+    and each run iterates over all jobs and agents. Runs then keep a minimum interval.
+
+    Attributes:
+        is_planned: Whether a run is planned.
+        paused_until: Until when the next run is delayed, in seconds of the clock.
+    """
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        clock: Clock,
+        schedule: Callable[[], bool],
+    ) -> None:
+        """Creates the controller.
+
+        Args:
+            loop: The process's loop.
+            clock: Clock in seconds.
+            schedule: Gives out orders; returns whether jobs still wait.
+        """
+        self.loop = loop
+        self.clock = clock
+        self.schedule = schedule
+        self.is_planned = False
+        self.paused_until = 0.0
+
+    def plan(self) -> None:
+        """Requests a run of the scheduler."""
+        if self.is_planned:
+            return
+        self.is_planned = True
+        pause_s = self.paused_until - self.clock()
+        if pause_s > 0:
+            self.loop.call_later(pause_s, self._run)
+        else:
+            self.loop.call_soon(self._run)
+
+    def _run(self) -> None:
+        self.is_planned = False
+        is_crowded = self.schedule()
+        self.paused_until = self.clock() + CROWDED_PAUSE_S if is_crowded else 0.0
--- a/src/jackdawkeel/scheduling/target_link.py
+++ b/src/jackdawkeel/scheduling/target_link.py
@@ -145,24 +145,24 @@
         )
 
     def _take_listing(self, listing: Listing, asked_at: float) -> None:
-        is_other_life = listing.born_ms != self.target.born_ms
-        if is_other_life and asked_at < self.heard_at:
+        is_other_incarnation = listing.born_ms != self.target.born_ms
+        if is_other_incarnation and asked_at < self.heard_at:
             # A later call has already heard the life that followed this one.
             return
         self.heard_at = max(self.heard_at, asked_at)
         self.target.note_reachable(True)
-        if is_other_life:
-            self._begin_life(listing.born_ms)
+        if is_other_incarnation:
+            self._begin_incarnation(listing.born_ms)
         self.tasks.handle_listing(listing, asked_at)
         numbers = [end.number for end in listing.ended]
         self.acknowledged = max([self.acknowledged, *numbers])
         if not self.target.is_prepared and not listing.running:
             self.target.is_prepared = True
 
-    def _begin_life(self, born_ms: int) -> None:
+    def _begin_incarnation(self, born_ms: int) -> None:
         if self.target.born_ms:
             self.log.record(EventName.TARGET_GONE, born_ms=self.target.born_ms)
-            self.tasks.handle_new_life()
+            self.tasks.handle_new_incarnation()
         self.target.born_ms = born_ms
         self.acknowledged = 0
 
--- a/src/jackdawkeel/scheduling/task_executor.py
+++ b/src/jackdawkeel/scheduling/task_executor.py
@@ -379,13 +379,13 @@
         """Takes it that all that the target ran has ended."""
         for run in list(self.by_run.values()):
             self._finish(run, TaskStatus.LOST)
-        self.handle_new_life()
+        self.handle_new_incarnation()
 
-    def handle_new_life(self) -> None:
-        """Takes it that the target has begun a new life.
+    def handle_new_incarnation(self) -> None:
+        """Takes it that the target has restarted.
 
-        Which runs ended with the former life only a listing tells: the new one may
-        have started some before it was known.
+        Which runs ended with the former incarnation only a listing tells: the new one
+        may have started some before it was known.
         """
         self.next_stop_at.clear()
         self.attempts = AttemptNumbers()
--- a/src/jackdawkeel/wsgi_server.py
+++ b/src/jackdawkeel/wsgi_server.py
@@ -76,7 +76,8 @@
         """Ends the server after the requests under way; blocks."""
         stopping = Thread(target=self.server.stop, name="http-stop")
         stopping.start()
-        # The thread that accepts looks at the stop only when it wakes.
+        # A connection wakes the selector, which checks for the stop only then; without
+        # one the server stops after its own timeout.
         with suppress(OSError):
             socket.create_connection(self.server.bind_addr, WAKE_TIMEOUT_S).close()
         stopping.join()
--- a/tests/scheduling/test_schedule_turns.py
+++ b/tests/scheduling/test_schedule_trigger.py
@@ -1,26 +1,26 @@
-"""Looks at waiting jobs: one a turn, and with pauses while jobs wait for room."""
+"""Runs of the scheduler: one a turn, and with pauses while jobs wait for room."""
 
 from __future__ import annotations
 
 import unittest
 from unittest.mock import Mock
 
-from jackdawkeel.scheduling.schedule_turns import CROWDED_PAUSE_S
-from jackdawkeel.scheduling.schedule_turns import ScheduleTurns
+from jackdawkeel.scheduling.schedule_trigger import CROWDED_PAUSE_S
+from jackdawkeel.scheduling.schedule_trigger import ScheduleTrigger
 from tests.fakes import FakeClock
 
 
-class ScheduleTurnsTest(unittest.TestCase):
+class ScheduleTriggerTest(unittest.TestCase):
     def setUp(self) -> None:
         self.clock = FakeClock()
         self.loop = Mock()
-        self.looks = 0
+        self.runs = 0
         self.is_crowded = False
-        self.turns = ScheduleTurns(self.loop, self.clock, self.look)
+        self.trigger = ScheduleTrigger(self.loop, self.clock, self.schedule)
 
-    def look(self) -> bool:
-        """Stands in for the scheduler."""
-        self.looks += 1
+    def schedule(self) -> bool:
+        """Counts the runs."""
+        self.runs += 1
         return self.is_crowded
 
     def take_planned(self) -> list[float]:
@@ -32,22 +32,22 @@
             action()
         return [pause_s for pause_s, _ in [*soon, *later]]
 
-    def test_many_causes_in_a_turn_give_one_look(self) -> None:
+    def test_requests_of_one_turn_are_coalesced(self) -> None:
         for _ in range(5):
-            self.turns.plan()
+            self.trigger.plan()
         self.assertEqual([0.0], self.take_planned())
-        self.assertEqual(1, self.looks)
+        self.assertEqual(1, self.runs)
 
-    def test_a_look_that_leaves_nobody_waiting_is_followed_at_once(self) -> None:
+    def test_a_run_that_leaves_no_job_waiting_delays_nothing(self) -> None:
         for _ in range(3):
-            self.turns.plan()
+            self.trigger.plan()
             self.assertEqual([0.0], self.take_planned())
 
-    def test_reports_under_a_burst_give_few_looks(self) -> None:
+    def test_runs_are_few_while_jobs_wait(self) -> None:
         self.is_crowded = True
         for _ in range(1000):
-            self.turns.plan()
-            if self.clock() >= self.turns.crowded_until:
+            self.trigger.plan()
+            if self.clock() >= self.trigger.paused_until:
                 self.take_planned()
             self.clock.advance(0.001)
-        self.assertLessEqual(self.looks, 1.0 / CROWDED_PAUSE_S + 1)
+        self.assertLessEqual(self.runs, 1.0 / CROWDED_PAUSE_S + 1)
--- a/tests/scheduling/test_task_executor.py
+++ b/tests/scheduling/test_task_executor.py
@@ -252,7 +252,7 @@
         )
         self.assertEqual(self.executor.free_room().cpu_millis, 2000)
 
-    def test_a_run_that_the_next_life_of_the_target_started_is_not_lost(self) -> None:
+    def test_a_run_that_the_restarted_target_started_is_not_lost(self) -> None:
         self.give(make_order(1), make_order(2))
         self.confirm(*self.started)
         former, latter = [run.run for run in self.started]
