--- a/src/jackdawkeel/scheduling/target_report.py
+++ b/src/jackdawkeel/scheduling/target_report.py
@@ -17,7 +17,7 @@
     Attributes:
         instance: Id of the target, which a restart may keep.
         born_ms: Start of the target, in milliseconds since 1970.
-        sequence: Grows with each heartbeat of one life of the target.
+        sequence: Grows with each heartbeat of one incarnation.
         service: The service that it serves.
         availability_zone: Where it runs.
         labels: Its kind and its rack.
--- a/src/jackdawkeel/scheduling/target_runtime.py
+++ b/src/jackdawkeel/scheduling/target_runtime.py
@@ -31,7 +31,7 @@
     UNHEALTHY = "unhealthy"
     """The target takes nothing at present; nothing was done."""
     OTHER_INCARNATION = "other_incarnation"
-    """Another life of the target answered; nothing was done."""
+    """Another incarnation of the target answered; nothing was done."""
     REJECTED = "rejected"
     """The target will never run it; nothing was done."""
     NOT_SENT = "not_sent"
@@ -75,7 +75,7 @@
     """A run that the target lists as ended.
 
     Attributes:
-        number: Number of the end; it grows within one life of the target.
+        number: Number of the end; it grows within one incarnation of the target.
         run: The run.
         kind: How it ended.
     """
@@ -90,7 +90,7 @@
     """What a target says that it runs, and what has ended.
 
     Attributes:
-        born_ms: Names the life of the target.
+        born_ms: Names the incarnation of the target.
         running: All that runs.
         ended: All ends that were not acknowledged.
     """
@@ -110,7 +110,7 @@
     STALE_TOKEN = "stale_token"
     """The target has seen a higher fencing token; nothing was done."""
     OTHER_INCARNATION = "other_incarnation"
-    """Another life of the target answered; nothing was done."""
+    """Another incarnation of the target answered; nothing was done."""
 
 
 class TargetRuntime(Protocol):
--- a/src/jackdawkeel/scheduling/target_state.py
+++ b/src/jackdawkeel/scheduling/target_state.py
@@ -30,7 +30,7 @@
     Attributes:
         report: The last valid heartbeat, or None.
         fencing_token: Token of this process's orders.
-        born_ms: The life of the target that was last listed; 0 before.
+        born_ms: The incarnation of the target that was last listed; 0 before.
         is_prepared: Whether the target was seen to run nothing of earlier processes.
         is_reachable: Whether the last call reached it.
         is_leaving: Whether this agent shuts down.
@@ -83,7 +83,7 @@
         return None
 
     def apply_report(self, report: TargetReport) -> bool:
-        """Takes a heartbeat; returns whether it is of a new life of the target."""
+        """Takes a heartbeat; returns whether it is of a new incarnation."""
         current = self.report
         is_new = current is None or (report.instance, report.born_ms) != (
             current.instance,
