--- a/tests/standins/proxy.py
+++ b/tests/standins/proxy.py
@@ -109,6 +109,15 @@
         """Makes the present connections go silent for good; new ones work."""
         self._for_each(source, Connection.silence)
 
+    def close_silent(self) -> None:
+        """Closes the connections that have gone silent for good."""
+
+        def close_if_silent(connection: Connection) -> None:
+            if connection.silent:
+                connection.close()
+
+        self._for_each(None, close_if_silent)
+
     def heal(self) -> None:
         """Ends all faults; connections that went silent stay so."""
         self.faults.clear()
