Make one piece serve the store adapters, the worker threads and the medians

From a read of the whole change; behaviour stays as it is.

- store/failures.py has what a failed call says of its effect, and how a waiting read is ended; the etcd and the platform adapter had each of them.
- WorkerThread owns the thread and the task that Registration, StoreFollower and EntryDiscovery each owned by the same lines.
- Three medians are statistics.median_high.
- Dead: Task.order, OpenOrder.has_started, the clock of EntryDiscovery, two logs, MS_PER_S of the watch. is_calm of the soak is derived from kinds.

--- a/src/jackdawkeel/platform/store.py
+++ b/src/jackdawkeel/platform/store.py
@@ -12,12 +12,12 @@
 from result import Err
 from result import Ok
 from result import Result
-from urllib3.exceptions import ConnectTimeoutError
 from urllib3.exceptions import HTTPError
-from urllib3.exceptions import NewConnectionError
 
 from ..store.call_counter import CallCounter
 from ..store.call_counter import CallKind
+from ..store.failures import describe_failure
+from ..store.failures import kind_if_sent
 from ..store.interface import KeyReading
 from ..store.interface import KeyValue
 from ..store.interface import PrefixReading
@@ -37,8 +37,6 @@
 
 
 if TYPE_CHECKING:
-    from types import TracebackType
-
     from urllib3.response import BaseHTTPResponse
 
     from ..setting_values import Address
@@ -47,7 +45,6 @@
 MAX_CONNECTIONS = 4
 MAX_PAGES = 100
 MS_PER_S = 1000
-READ_KINDS = frozenset({CallKind.RANGE})
 
 BodyT = TypeVar("BodyT")
 
@@ -70,12 +67,7 @@
     def __enter__(self) -> Self:
         return self
 
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
+    def __exit__(self, *_: object) -> None:
         self.pool.close()
 
     def get(self, key: bytes) -> Result[KeyReading, StoreError]:
@@ -199,14 +191,14 @@
             # The other idle connections may be as dead as this one.
             self.pool.close()
             self.pool = self._make_pool()
-            return Err(_describe_failure(kind, error))
+            return Err(describe_failure(kind, error))
         if response.status in (429, 503):
             # The platform promises that such a call had no effect.
             message = f"{kind}: refused with status {response.status}"
             return Err(StoreError(StoreErrorKind.UNAVAILABLE, message))
         if response.status not in (200, 404, 412):
             message = f"{kind}: status {response.status}"
-            return Err(StoreError(_kind_if_sent(kind), message))
+            return Err(StoreError(kind_if_sent(kind), message))
         return Ok(response)
 
     def _make_pool(self) -> urllib3.HTTPConnectionPool:
@@ -225,20 +217,7 @@
         return Ok(msgspec.json.decode(response.data, type=body_type))
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         message = f"{kind}: the response can't be decoded: {error}"
-        return Err(StoreError(_kind_if_sent(kind), message))
-
-
-def _describe_failure(kind: CallKind, error: HTTPError) -> StoreError:
-    message = f"{kind}: {error}"
-    if isinstance(error, NewConnectionError | ConnectTimeoutError):
-        return StoreError(StoreErrorKind.UNAVAILABLE, message)
-    return StoreError(_kind_if_sent(kind), message)
-
-
-def _kind_if_sent(kind: CallKind) -> StoreErrorKind:
-    if kind in READ_KINDS:
-        return StoreErrorKind.UNAVAILABLE
-    return StoreErrorKind.OUTCOME_UNKNOWN
+        return Err(StoreError(kind_if_sent(kind), message))
 
 
 def _to_item(item: WireItem) -> KeyValue:
--- a/src/jackdawkeel/platform/store_watch.py
+++ b/src/jackdawkeel/platform/store_watch.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import socket
-from contextlib import suppress
 from http.client import HTTPException
 from typing import TYPE_CHECKING
 from typing import Self
@@ -18,6 +16,7 @@
 
 from ..store.call_counter import CallCounter
 from ..store.call_counter import CallKind
+from ..store.failures import end_waiting_read
 from ..store.interface import KeyChange
 from ..store.interface import StoreError
 from ..store.interface import StoreErrorKind
@@ -28,14 +27,11 @@
 
 
 if TYPE_CHECKING:
-    from types import TracebackType
-
     from urllib3.response import BaseHTTPResponse
 
     from ..setting_values import Address
 
 
-MS_PER_S = 1000
 GONE = 410
 
 
@@ -68,12 +64,7 @@
     def __enter__(self) -> Self:
         return self
 
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
+    def __exit__(self, *_: object) -> None:
         self.close()
 
     def read(self) -> Result[list[KeyChange], StoreError]:
@@ -104,11 +95,7 @@
     def close(self) -> None:
         """Ends the watch and a call that waits on another thread."""
         self.closed = True
-        waiting = self.connection.sock
-        if waiting is not None:
-            # The store may have closed it at this moment.
-            with suppress(OSError):
-                waiting.shutdown(socket.SHUT_RDWR)
+        end_waiting_read(self.connection.sock)
         self.connection.close()
 
     def _request(self, path: str) -> BaseHTTPResponse:
--- a/src/jackdawkeel/policy/suspects.py
+++ b/src/jackdawkeel/policy/suspects.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from statistics import median_high
 from typing import TYPE_CHECKING
 
 
@@ -47,8 +48,8 @@
     """Returns the targets that are left out, the worst of them if there are many."""
     if not qualities:
         return frozenset()
-    usual_share = _median([_share(item) for item in qualities])
-    usual_slowness = _median([item.slowness for item in qualities])
+    usual_share = median_high([_share(item) for item in qualities])
+    usual_slowness = median_high([item.slowness for item in qualities])
     scores = {
         item.name: max(
             _score_failures(item, usual_share), _score_slowness(item, usual_slowness)
@@ -77,7 +78,3 @@
 def _score_slowness(quality: Quality, usual_slowness: float) -> float:
     ratio = quality.slowness / usual_slowness if usual_slowness else 1.0
     return 1 - 1 / ratio if ratio >= SLOW_MULTIPLE else 0.0
-
-
-def _median(values: list[float]) -> float:
-    return sorted(values)[len(values) // 2]
--- a/src/jackdawkeel/scheduling/agent_node.py
+++ b/src/jackdawkeel/scheduling/agent_node.py
@@ -105,9 +105,7 @@
         self.follower = StoreFollower(
             store, self.operators, log, self._apply_evacuations
         )
-        self.discovery = EntryDiscovery(
-            store, settings, self.clock, log, self.reports.add_entries
-        )
+        self.discovery = EntryDiscovery(store, settings, log, self.reports.add_entries)
         self.changed_owners: dict[str, Owner] = {}
         self.stopped = asyncio.Event()
 
@@ -197,7 +195,12 @@
             AgentHttpServer(address, self.handle_http)
             for address in (heartbeats, metrics)
         ]
-        owners = (self.node, self.target_link, self.follower, self.discovery)
+        owners = (
+            self.node,
+            self.target_link,
+            self.follower.worker,
+            self.discovery.worker,
+        )
         with ExitStack() as stack:
             for owner in owners:
                 stack.enter_context(owner)
--- a/src/jackdawkeel/scheduling/agent_views.py
+++ b/src/jackdawkeel/scheduling/agent_views.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 from dataclasses import field
+from statistics import median_high
 from typing import TYPE_CHECKING
 
 from ..events import EventName
@@ -171,8 +172,8 @@
 
     def usual_slowness(self) -> float:
         """Returns the median of the slowness that agents report, at least 1."""
-        known = sorted(view.report.slowness for view in self.views.values())
-        return max(1.0, known[len(known) // 2]) if known else 1.0
+        known = [view.report.slowness for view in self.views.values()]
+        return max(1.0, median_high(known)) if known else 1.0
 
     def has_accepting(self) -> bool:
         """Returns whether any agent takes new tasks."""
--- a/src/jackdawkeel/scheduling/entry_discovery.py
+++ b/src/jackdawkeel/scheduling/entry_discovery.py
@@ -3,22 +3,19 @@
 from __future__ import annotations
 
 import asyncio
-from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING
-from typing import Self
 
 from ..backoff import spread
 from ..messages import PeerAddress
-from ..periodic import restart_on_error
 from ..setting_values import Address
 from ..store.entries import list_entries
+from .worker_thread import WorkerThread
 
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
 
-    from ..clock import Clock
     from ..logs import EventLog
     from ..store.interface import Store
     from .process_settings import ProcessSettings
@@ -29,44 +26,28 @@
 FIRST_INTERVAL_S = 0.7
 FIRST_ROUNDS = 4
 INTERVAL_SPREAD = 0.2
-RESTART_DELAY_S = 0.5
 
 
 class EntryDiscovery:
-    """Owns the thread that reads the list of entries."""
+    """Reads the list of entries."""
 
     def __init__(
         self,
         store: Store,
         settings: ProcessSettings,
-        clock: Clock,
         log: EventLog,
         found: Callable[[Iterable[PeerAddress]], None],
     ) -> None:
         self.store = store
         self.settings = settings
-        self.clock = clock
-        self.log = log
         self.found = found
-
-    def __enter__(self) -> Self:
-        self.loop = asyncio.get_running_loop()
-        self.threads = ThreadPoolExecutor(1, "discovery")
-        work = restart_on_error(self._find_forever, self.log, RESTART_DELAY_S)
-        self.task = asyncio.create_task(work)
-        return self
-
-    def __exit__(self, *_: object) -> None:
-        self.task.cancel()
-        self.threads.shutdown(wait=False, cancel_futures=True)
+        self.worker = WorkerThread("discovery", self._find_forever, log)
 
     async def _find_forever(self) -> None:
         self.found(self._name_seeds())
         rounds = 0
         while True:
-            listed = await self.loop.run_in_executor(
-                self.threads, list_entries, self.store
-            )
+            listed = await self.worker.call(list_entries, self.store)
             if listed.is_ok():
                 self.found(listed.unwrap())
             rounds += 1
--- a/src/jackdawkeel/scheduling/entry_node.py
+++ b/src/jackdawkeel/scheduling/entry_node.py
@@ -283,7 +283,11 @@
             also_listen=further,
         )
         with ExitStack() as stack:
-            for owner in (self.node, self.follower, self.registration):
+            for owner in (
+                self.node,
+                self.follower.worker,
+                self.registration.worker,
+            ):
                 stack.enter_context(owner)
             await self._wait_for_targets()
             await self.loop.run_in_executor(None, server.__enter__)
--- a/src/jackdawkeel/scheduling/job.py
+++ b/src/jackdawkeel/scheduling/job.py
@@ -52,7 +52,6 @@
         failures: Runs that failed.
         moves: Runs that were lost.
         avoided: Agents where it failed or was lost.
-        order: The order that is open, if any.
     """
 
     name: str
@@ -62,7 +61,6 @@
     failures: int = 0
     moves: int = 0
     avoided: frozenset[str] = frozenset()
-    order: OpenOrder | None = None
 
 
 @dataclass(slots=True, eq=False)
@@ -76,7 +74,6 @@
         agent: Incarnation of the agent that has it.
         demand: What it claims.
         sent_at: When it was last sent, in seconds.
-        has_started: Whether the agent said that it runs.
         is_unwanted: Whether it was told to stop.
     """
 
@@ -86,7 +83,6 @@
     agent: str
     demand: Resources
     sent_at: float
-    has_started: bool = False
     is_unwanted: bool = False
 
 
--- a/src/jackdawkeel/scheduling/job_scheduler.py
+++ b/src/jackdawkeel/scheduling/job_scheduler.py
@@ -320,7 +320,6 @@
             task.attempts += 1
             order = OpenOrder(self.next_number, job, task, agent, spec.demand, now)
             self.next_number += 1
-            task.order = order
             self.orders[order.number] = order
             job.open_orders[order.number] = order
             view.unseen[order.number] = spec.demand
@@ -385,7 +384,6 @@
         if order is None or order.agent != agent:
             return
         if update.status == TaskStatus.STARTED:
-            order.has_started = True
             return
         self._close_order(order)
         job = order.job
@@ -431,8 +429,6 @@
         self.orders.pop(order.number, None)
         order.job.open_orders.pop(order.number, None)
         self.next_stop_at.pop(order.number, None)
-        if order.task.order is order:
-            order.task.order = None
         view = self.views.views.get(order.agent)
         if view is not None:
             view.unseen.pop(order.number, None)
--- a/src/jackdawkeel/scheduling/registration.py
+++ b/src/jackdawkeel/scheduling/registration.py
@@ -3,16 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING
-from typing import Self
 
 from ..backoff import spread
-from ..periodic import restart_on_error
 from ..store.entries import ENTRY_LEASE_S
 from ..store.entries import announce_entry
 from ..store.entries import list_entries
 from ..store.interface import StoreErrorKind
+from .worker_thread import WorkerThread
 
 
 if TYPE_CHECKING:
@@ -24,33 +22,21 @@
 # An entry that has lapsed must be listed again within 2 s of the store's return.
 INTERVAL_S = 1.2
 INTERVAL_SPREAD = 0.2
-RESTART_DELAY_S = 0.5
 
 
 class Registration:
-    """Owns the thread that keeps the entry's lease and reads the list."""
+    """Keeps the entry's lease and reads the list."""
 
     def __init__(self, store: Store, address: PeerAddress, log: EventLog) -> None:
         self.store = store
         self.address = address
-        self.log = log
         self.entries: list[PeerAddress] = []
         self.lease_id: int | None = None
-
-    def __enter__(self) -> Self:
-        self.loop = asyncio.get_running_loop()
-        self.threads = ThreadPoolExecutor(1, "registration")
-        work = restart_on_error(self._keep_forever, self.log, RESTART_DELAY_S)
-        self.task = asyncio.create_task(work)
-        return self
-
-    def __exit__(self, *_: object) -> None:
-        self.task.cancel()
-        self.threads.shutdown(wait=False, cancel_futures=True)
+        self.worker = WorkerThread("registration", self._keep_forever, log)
 
     async def _keep_forever(self) -> None:
         while True:
-            await self.loop.run_in_executor(self.threads, self._keep)
+            await self.worker.call(self._keep)
             await asyncio.sleep(spread(INTERVAL_S, INTERVAL_SPREAD))
 
     def _keep(self) -> None:
--- a/src/jackdawkeel/scheduling/store_follower.py
+++ b/src/jackdawkeel/scheduling/store_follower.py
@@ -3,13 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-from concurrent.futures import ThreadPoolExecutor
 from typing import TYPE_CHECKING
-from typing import Self
 
 from ..events import EventName
-from ..periodic import restart_on_error
 from ..store.interface import StoreErrorKind
+from .worker_thread import WorkerThread
 
 
 if TYPE_CHECKING:
@@ -23,11 +21,10 @@
 
 # Pause after a failed call; a quarter of a second of the time for applying a change.
 RETRY_S = 0.25
-RESTART_DELAY_S = 0.5
 
 
 class StoreFollower:
-    """Owns the thread that reads and watches the operators' keys."""
+    """Reads and watches the operators' keys."""
 
     def __init__(
         self,
@@ -41,17 +38,7 @@
         self.log = log
         self.changed = changed
         self.is_reached: bool | None = None
-
-    def __enter__(self) -> Self:
-        self.loop = asyncio.get_running_loop()
-        self.threads = ThreadPoolExecutor(1, "store-watch")
-        work = restart_on_error(self._follow, self.log, RESTART_DELAY_S)
-        self.task = asyncio.create_task(work)
-        return self
-
-    def __exit__(self, *_: object) -> None:
-        self.task.cancel()
-        self.threads.shutdown(wait=False, cancel_futures=True)
+        self.worker = WorkerThread("store-watch", self._follow, log)
 
     async def _follow(self) -> None:
         while True:
@@ -62,9 +49,7 @@
     async def _read_all(self) -> int:
         prefix = self.state.keys.prefix
         while True:
-            read = await self.loop.run_in_executor(
-                self.threads, self.store.get_prefix, prefix
-            )
+            read = await self.worker.call(self.store.get_prefix, prefix)
             if read.is_ok():
                 reading = read.unwrap()
                 self._note_reached(True)
@@ -76,7 +61,7 @@
 
     async def _watch(self, watch: Watch) -> None:
         while True:
-            read = await self.loop.run_in_executor(self.threads, watch.read)
+            read = await self.worker.call(watch.read)
             if read.is_err():
                 error = read.unwrap_err()
                 self._note_reached(False, error.message)
--- a/src/jackdawkeel/scheduling/target_quality.py
+++ b/src/jackdawkeel/scheduling/target_quality.py
@@ -5,6 +5,7 @@
 from collections import deque
 from dataclasses import dataclass
 from dataclasses import field
+from statistics import median_high
 
 
 # Ends older than this say nothing any more, so that a target that was given up is
@@ -61,7 +62,7 @@
             running: The same of tasks that still run, by their progress.
         """
         ended = [end.slowness for end in self.ends if end.slowness]
-        known = sorted([*ended[-MAX_SPEED_RUNS:], *running])
+        known = [*ended[-MAX_SPEED_RUNS:], *running]
         if len(known) < MIN_SPEED_RUNS:
             return 1.0
-        return known[len(known) // 2]
+        return median_high(known)
--- a/src/jackdawkeel/store/etcd.py
+++ b/src/jackdawkeel/store/etcd.py
@@ -11,14 +11,14 @@
 from result import Err
 from result import Ok
 from result import Result
-from urllib3.exceptions import ConnectTimeoutError
 from urllib3.exceptions import HTTPError
-from urllib3.exceptions import NewConnectionError
 
 from . import etcd_wire as wire
 from .call_counter import CallCounter
 from .call_counter import CallKind
 from .etcd_watch import EtcdWatch
+from .failures import describe_failure
+from .failures import kind_if_sent
 from .interface import KeyReading
 from .interface import KeyValue
 from .interface import PrefixReading
@@ -174,7 +174,7 @@
         except HTTPError as error:
             # The other idle connections may be as dead as this one.
             self.pool = self._make_pool()
-            return Err(_describe_failure(kind, error))
+            return Err(describe_failure(kind, error))
         if response.status != 200:
             return Err(_describe_refusal(kind, response.status, response.data))
         try:
@@ -183,7 +183,7 @@
             )
         except (msgspec.MsgspecError, UnicodeDecodeError) as error:
             message = f"{kind}: the response cannot be decoded: {error}"
-            return Err(StoreError(_kind_if_sent(kind), message))
+            return Err(StoreError(kind_if_sent(kind), message))
 
     def _make_pool(self) -> urllib3.HTTPConnectionPool:
         return urllib3.HTTPConnectionPool(
@@ -205,13 +205,6 @@
     return parts.host, parts.port or 80
 
 
-def _describe_failure(kind: CallKind, error: HTTPError) -> StoreError:
-    message = f"{kind}: {error}"
-    if isinstance(error, NewConnectionError | ConnectTimeoutError):
-        return StoreError(StoreErrorKind.UNAVAILABLE, message)
-    return StoreError(_kind_if_sent(kind), message)
-
-
 def _describe_refusal(kind: CallKind, status: int, body: bytes) -> StoreError:
     reason = _read_reason(body)
     message = f"{kind}: status {status}: {reason}"
@@ -219,13 +212,7 @@
         return StoreError(StoreErrorKind.LEASE_NOT_FOUND, message)
     if 400 <= status < 500 or reason.startswith(REFUSALS_BEFORE_WRITE):
         return StoreError(StoreErrorKind.UNAVAILABLE, message)
-    return StoreError(_kind_if_sent(kind), message)
-
-
-def _kind_if_sent(kind: CallKind) -> StoreErrorKind:
-    if kind is CallKind.RANGE:
-        return StoreErrorKind.UNAVAILABLE
-    return StoreErrorKind.OUTCOME_UNKNOWN
+    return StoreError(kind_if_sent(kind), message)
 
 
 def _read_reason(body: bytes) -> str:
--- a/src/jackdawkeel/store/etcd_watch.py
+++ b/src/jackdawkeel/store/etcd_watch.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
-import socket
 import threading
 from http.client import HTTPException
 from typing import TYPE_CHECKING
@@ -20,12 +18,14 @@
 from . import etcd_wire as wire
 from .call_counter import CallCounter
 from .call_counter import CallKind
+from .failures import end_waiting_read
 from .interface import KeyChange
 from .interface import StoreError
 from .interface import StoreErrorKind
 
 
 if TYPE_CHECKING:
+    import socket
     from types import TracebackType
 
     from urllib3.response import HTTPResponse
@@ -93,9 +93,7 @@
 
     def interrupt(self) -> None:
         """Ends a waiting read; may be called by any thread."""
-        if self.socket is not None:
-            with contextlib.suppress(OSError):
-                self.socket.shutdown(socket.SHUT_RDWR)
+        end_waiting_read(self.socket)
 
     def close(self) -> None:
         """Closes the connection."""
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -81,10 +81,7 @@
 
     def is_calm(self, name: str, since: float, until: float) -> bool:
         """Returns whether nothing disrupted a process or the store in a time."""
-        return not any(
-            span.began_at <= until and span.ended_at >= since
-            for span in list(self.spans[name])
-        )
+        return not self.kinds(name, since, until)
 
     def kinds(self, name: str, since: float, until: float) -> set[str]:
         """Returns the kinds of disruption of a process in a time."""
