--- a/bench/model/simulator.py
+++ b/bench/model/simulator.py
@@ -1,14 +1,13 @@
-"""The event loop of the model."""
+"""Runs jobs through the model."""
 
 from __future__ import annotations
 
 import bisect
-import heapq
-import itertools
 import random
 from functools import partial
 from typing import TYPE_CHECKING
 
+from bench.event_queue import EventQueue
 from bench.model.state import Agent
 from bench.model.state import Entry
 from bench.model.state import Job
@@ -44,21 +43,19 @@
 DEADLINE_MS = 60_000
 
 
-class Simulator:
+class Simulator(EventQueue):
     """Runs jobs over agents and entries and tallies what became of them."""
 
     def __init__(
         self, agents: list[Agent], entries: list[Entry], ways: Ways, seed: int
     ) -> None:
+        super().__init__()
         self.agents = {agent.name: agent for agent in agents}
         self.entries = entries
         self.ways = ways
         self.rng = random.Random(seed)
         self.tally = Tally()
         self.learned = Learned()
-        self.now = 0.0
-        self.events: list[tuple[float, int, Callable[[], None]]] = []
-        self.counter = itertools.count()
         self.last_heard = {agent.name: agent.load for agent in agents}
         for agent in agents:
             phase_s = self.rng.uniform(0, HEARTBEAT_S)
@@ -66,16 +63,13 @@
 
     def schedule(self, delay_s: float, action: Callable[[], None]) -> None:
         """Has an action done after a delay in seconds."""
-        event = (self.now + delay_s, next(self.counter), action)
-        heapq.heappush(self.events, event)
+        self.at(self.now + delay_s, action)
 
     def run(self, arrivals: Iterable[JobArrival], until_s: float) -> Tally:
         """Runs until the given time and returns the tally."""
         for arrival in arrivals:
             self.schedule(arrival.at_s, partial(self.arrive, arrival))
-        while self.events and self.events[0][0] <= until_s:
-            self.now, _, action = heapq.heappop(self.events)
-            action()
+        self.run_until(until_s)
         self.tally.ended_s = until_s
         return self.tally
 
--- a/bench/shared_room/__main__.py
+++ b/bench/shared_room/__main__.py
@@ -12,6 +12,7 @@
 import argparse
 import random
 from collections import defaultdict
+from functools import partial
 
 from bench.shared_room.simulator import REFUSED
 from bench.shared_room.simulator import Simulator
@@ -105,8 +106,8 @@
     simulator = Simulator(entries, build_agents(), way, seed)
     jobs = generate_jobs(entries, seconds, burst, random.Random(seed))
     for job in jobs:
-        simulator.at(job.timing.arrived_at, simulator.submit, job)
-    simulator.run(seconds + DEADLINE_S)
+        simulator.at(job.timing.arrived_at, partial(simulator.submit, job))
+    simulator.run_until(seconds + DEADLINE_S)
     in_time: dict[str, list[bool]] = defaultdict(list)
     for job in jobs:
         if not BURST_S[0] <= job.timing.arrived_at < BURST_S[1] + 1.0:
--- a/bench/shared_room/simulator.py
+++ b/bench/shared_room/simulator.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import heapq
-import itertools
 import random
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from functools import partial
 
+from bench.event_queue import EventQueue
 from bench.shared_room.state import ModelAgent
 from bench.shared_room.state import ModelEntry
 from bench.shared_room.state import ModelJob
@@ -22,10 +21,6 @@
 from jackdawkeel.scheduling.schedule_trigger import CROWDED_PAUSE_S
 
 
-if TYPE_CHECKING:
-    from collections.abc import Callable
-
-
 LINK_S = 0.001
 TICK_S = 0.05
 ORDER_WAIT_S = 0.04
@@ -49,7 +44,7 @@
     park_s: float = 0.0
 
 
-class Simulator:
+class Simulator(EventQueue):
     """Runs events in order of time."""
 
     def __init__(
@@ -59,32 +54,19 @@
         way: Way,
         seed: int,
     ) -> None:
+        super().__init__()
         self.entries = entries
         self.agents = agents
         self.way = way
         self.rng = random.Random(seed)
-        self.now = 0.0
-        self.events: list[tuple[float, int, Callable[[], None]]] = []
-        self.numbers = itertools.count()
         self.messages = 0
         for entry in entries:
             for agent in agents:
                 entry.views[agent.name] = ModelView(agent, agent.free)
         for index, agent in enumerate(agents):
-            self.at(TICK_S * index / len(agents), self._tick_agent, agent)
+            self.at(TICK_S * index / len(agents), partial(self._tick_agent, agent))
         for entry in entries:
-            self.at(0.0, self._tick_entry, entry)
-
-    def at(self, moment: float, action: Callable[..., None], *values: object) -> None:
-        """Plans an action."""
-        event = (moment, next(self.numbers), lambda: action(*values))
-        heapq.heappush(self.events, event)
-
-    def run(self, until: float) -> None:
-        """Plays all events up to a moment."""
-        while self.events and self.events[0][0] <= until:
-            self.now, _, action = heapq.heappop(self.events)
-            action()
+            self.at(0.0, partial(self._tick_entry, entry))
 
     # Entries.
 
@@ -102,13 +84,13 @@
                 job.ended_at = REFUSED
         entry.waiting = [job for job in entry.waiting if job.ended_at != REFUSED]
         self._plan_look(entry)
-        self.at(self.now + TICK_S, self._tick_entry, entry)
+        self.at(self.now + TICK_S, partial(self._tick_entry, entry))
 
     def _plan_look(self, entry: ModelEntry) -> None:
         if entry.waiting and not entry.is_look_planned:
             entry.is_look_planned = True
             moment = max(self.now, entry.looked_at + CROWDED_PAUSE_S)
-            self.at(moment, self._look, entry)
+            self.at(moment, partial(self._look, entry))
 
     def _look(self, entry: ModelEntry) -> None:
         entry.is_look_planned = False
@@ -152,7 +134,7 @@
         order = ModelOrder(job, task, view.agent, self.now, self.now + wait_s)
         view.unseen.append(order)
         self.messages += 1
-        self.at(self.now + LINK_S, self._take_order, order)
+        self.at(self.now + LINK_S, partial(self._take_order, order))
 
     def _hear(self, entry: ModelEntry, agent: ModelAgent, sent_at: float) -> None:
         view = entry.views[agent.name]
@@ -184,7 +166,7 @@
         order.agent.waiting.append(order)
         self._start_waiting(order.agent)
         if order.is_waiting:
-            self.at(order.start_by, self._hand_back, order)
+            self.at(order.start_by, partial(self._hand_back, order))
 
     def _start_waiting(self, agent: ModelAgent) -> None:
         agent.waiting.sort(key=self._rank_order)
@@ -197,7 +179,7 @@
                 order.job.has_begun = True
                 agent.free = agent.free.minus(order.job.step.demand)
                 end_at = self.now + order.job.run_s[order.task]
-                self.at(end_at, self._end_task, order)
+                self.at(end_at, partial(self._end_task, order))
 
     def _rank_order(self, order: ModelOrder) -> tuple[bool, int, float]:
         job = order.job
@@ -222,7 +204,7 @@
 
     def _tell_owner(self, order: ModelOrder, *, has_run: bool) -> None:
         self._report(order.agent, order.job.entry)
-        self.at(self.now + LINK_S, self._hear_end, order, has_run)
+        self.at(self.now + LINK_S, partial(self._hear_end, order, has_run))
 
     def _tick_agent(self, agent: ModelAgent) -> None:
         for entry in self.entries:
@@ -230,9 +212,11 @@
             if is_due or agent.told_free.get(entry.name) != agent.free:
                 agent.full_at[entry.name] = self.now
                 self._report(agent, entry)
-        self.at(self.now + max(TICK_S, CHANGE_INTERVAL_S), self._tick_agent, agent)
+        self.at(
+            self.now + max(TICK_S, CHANGE_INTERVAL_S), partial(self._tick_agent, agent)
+        )
 
     def _report(self, agent: ModelAgent, entry: ModelEntry) -> None:
         agent.told_free[entry.name] = agent.free
         self.messages += 1
-        self.at(self.now + LINK_S, self._hear, entry, agent, self.now)
+        self.at(self.now + LINK_S, partial(self._hear, entry, agent, self.now))
--- a/tests/bench/test_shared_room.py
+++ b/tests/bench/test_shared_room.py
@@ -4,6 +4,7 @@
 
 import random
 import unittest
+from functools import partial
 
 from bench.shared_room.__main__ import WAYS
 from bench.shared_room.__main__ import build_agents
@@ -26,8 +27,8 @@
                 simulator = Simulator(entries, agents, way, seed=1)
                 jobs = generate_jobs(entries, SECONDS, NO_BURST, random.Random(1))
                 for job in jobs:
-                    simulator.at(job.timing.arrived_at, simulator.submit, job)
-                simulator.run(LONG_S)
+                    simulator.at(job.timing.arrived_at, partial(simulator.submit, job))
+                simulator.run_until(LONG_S)
                 self.assertTrue(all(job.ended_at for job in jobs))
                 self.assertFalse(any(job.ended_at == REFUSED for job in jobs))
                 self.assertFalse(any(job.open_tasks for job in jobs))
