Bound the reports of an agent: list of entries only when changed, 12 entries at most

Cause: each of 160 agents reported to each of 35 entries five times a second, and each reply carried the addresses of all entries (1,670 bytes against 97 of the report; 46 MB/s in all). The first thing that fails on the large deployment is what these messages cost.

- A beat carries the list of entries when it has changed, and every 5 s because beats may be lost.
- An agent reports to 12 entries, chosen by rendezvous hashing; a silent one is replaced after a second until it replies.
The last report to an entry removes the agent there at once.
An owner of open assignments gets reports until they have ended.
- Targets on which a task would miss the objective of its job (measured slowness, data in another rack) are used last: with fewer targets per rack an entry has to choose better.
- An agent no longer reports the start of a run, which no entry used.

--- /dev/null
+++ b/bench/large_fleet/__init__.py
@@ -0,0 +1,1 @@
+"""A model of hundreds of targets that are shared by dozens of entries."""
--- a/bench/shared_room/simulator.py
+++ b/bench/shared_room/simulator.py
@@ -12,11 +12,15 @@
 from bench.shared_room.state import ModelEntry
 from bench.shared_room.state import ModelJob
 from bench.shared_room.state import ModelView
+from jackdawkeel.policy.neighbourhood import choose_entries
+from jackdawkeel.policy.neighbourhood import weigh_entry
+from jackdawkeel.policy.packing import RunTimeLimit
 from jackdawkeel.policy.packing import TargetCapacity
 from jackdawkeel.policy.packing import place_tasks
 from jackdawkeel.policy.waiting import rank_job
 from jackdawkeel.policy.waiting import would_end_too_late
 from jackdawkeel.scheduling.agent_reports import MIN_CHANGE_INTERVAL_S
+from jackdawkeel.scheduling.agent_views import MAX_CHANGES_PER_S
 from jackdawkeel.scheduling.leases import REPORT_INTERVAL_S
 from jackdawkeel.scheduling.schedule_trigger import CONTENTION_PAUSE_S
 
@@ -25,6 +29,9 @@
 TICK_INTERVAL_S = 0.05
 ASSIGNMENT_WAIT_S = 0.04
 REFUSED = float("inf")
+ALL_ENTRIES = 1000
+# Run time of a task outside the rack of its data, relative to the time within it.
+REMOTE_PENALTY = 1.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,12 +45,15 @@
         min_job_wait_s: Seconds that a job must have waited before its assignments may
             wait at agents.
         agent_wait_s: Seconds that such an assignment waits at its agent.
+        reported_entries: Number of entries that an agent reports to; all of them if
+            there are fewer.
     """
 
     notifies_all: bool = False
     max_waiting_per_agent: int = 0
     min_job_wait_s: float = 0.0
     agent_wait_s: float = 0.0
+    reported_entries: int = ALL_ENTRIES
 
 
 class Simulator(EventQueue):
@@ -69,8 +79,10 @@
         self.strategy = strategy
         self.rng = random.Random(seed)
         self.messages = 0
-        for entry in entries:
-            for agent in agents:
+        self.reports = 0
+        for agent in agents:
+            agent.entries = self._choose_entries(agent)
+            for entry in agent.entries:
                 entry.views[agent.name] = ModelView(agent, agent.free)
         for index, agent in enumerate(agents):
             self.schedule_at(
@@ -79,6 +91,16 @@
         for entry in entries:
             self.schedule_at(0.0, partial(self._tick_entry, entry))
 
+    def _choose_entries(self, agent: ModelAgent) -> list[ModelEntry]:
+        ranked = sorted(
+            (entry.name for entry in self.entries),
+            key=lambda name: weigh_entry(agent.name, name),
+            reverse=True,
+        )
+        count = self.strategy.reported_entries
+        chosen = choose_entries(ranked, lambda _name: False, count)
+        return [entry for entry in self.entries if entry.name in chosen]
+
     # Behaviour of entries.
 
     def submit(self, job: ModelJob) -> None:
@@ -111,7 +133,8 @@
         )
         targets = [self._view_target(entry, view) for view in entry.views.values()]
         for job in entry.waiting:
-            names = place_tasks(job.step, len(job.ready), targets).names
+            limit = RunTimeLimit(job.timing.max_slowdown(self.now), REMOTE_PENALTY)
+            names = place_tasks(job.step, len(job.ready), targets, limit).names
             for name in names:
                 job.has_begun = True
                 self._assign(job, entry.views[name], ASSIGNMENT_WAIT_S)
@@ -125,10 +148,11 @@
             free = free.minus(assignment.job.step.demand)
         return TargetCapacity(
             name=view.agent.name,
-            labels=frozenset(),
+            labels=view.agent.labels,
             free=free,
             capacity=view.agent.capacity,
             is_local=view.agent.zone == entry.zone,
+            slowness=view.agent.slowness,
         )
 
     def _assign_to_wait(self, job: ModelJob, entry: ModelEntry) -> None:
@@ -203,7 +227,7 @@
                 assignment.is_waiting = False
                 assignment.job.has_begun = True
                 agent.free = agent.free.minus(assignment.job.step.demand)
-                end_at = self.now + assignment.job.run_s[assignment.task]
+                end_at = self.now + _run_time_s(assignment)
                 self.schedule_at(end_at, partial(self._end_task, assignment))
 
     def _rank_assignment(self, assignment: ModelAssignment) -> tuple[bool, int, float]:
@@ -224,7 +248,7 @@
         self._start_waiting(agent)
         self._report_to_owner(assignment, has_run=True)
         if self.strategy.notifies_all:
-            for entry in self.entries:
+            for entry in agent.entries:
                 self._report(agent, entry)
 
     def _report_to_owner(self, assignment: ModelAssignment, *, has_run: bool) -> None:
@@ -234,12 +258,13 @@
         )
 
     def _tick_agent(self, agent: ModelAgent) -> None:
-        for entry in self.entries:
-            is_due = (
-                self.now
-                >= agent.last_report_at.get(entry.name, -1.0) + REPORT_INTERVAL_S
-            )
-            if is_due or agent.reported_free.get(entry.name) != agent.free:
+        for entry in agent.entries:
+            age_s = self.now - agent.last_report_at.get(entry.name, -1.0)
+            is_changed = agent.reported_free.get(entry.name) != agent.free
+            change_interval_s = len(entry.views) / MAX_CHANGES_PER_S
+            if age_s >= REPORT_INTERVAL_S or (
+                is_changed and age_s >= change_interval_s
+            ):
                 agent.last_report_at[entry.name] = self.now
                 self._report(agent, entry)
         self.schedule_at(
@@ -250,7 +275,15 @@
     def _report(self, agent: ModelAgent, entry: ModelEntry) -> None:
         agent.reported_free[entry.name] = agent.free
         self.messages += 1
+        self.reports += 1
         self.schedule_at(
             self.now + LINK_DELAY_S,
             partial(self._receive_report, entry, agent, self.now),
         )
+
+
+def _run_time_s(assignment: ModelAssignment) -> float:
+    agent, job = assignment.agent, assignment.job
+    rack = job.step.preferred_rack
+    penalty = REMOTE_PENALTY if rack and rack not in agent.labels else 1.0
+    return job.run_s[assignment.task] * agent.slowness * penalty
--- a/bench/shared_room/state.py
+++ b/bench/shared_room/state.py
@@ -116,6 +116,9 @@
         free: Free resources of the target.
         waiting: Assignments that wait for capacity.
         reported_free: Free resources by the last report, by entry.
+        labels: Labels of the target; one is its rack.
+        slowness: Run time of a task on the target, relative to the typical one.
+        entries: Entries that the agent reports to.
         last_report_at: Time of the last report sent by a tick, in seconds, by entry.
     """
 
@@ -123,6 +126,9 @@
     zone: str
     capacity: Resources
     free: Resources
+    labels: frozenset[str] = frozenset()
+    slowness: float = 1.0
+    entries: list[ModelEntry] = field(default_factory=list)
     waiting: list[ModelAssignment] = field(default_factory=list)
     reported_free: dict[str, Resources] = field(default_factory=dict)
     last_report_at: dict[str, float] = field(default_factory=dict)
--- a/src/jackdawkeel/messages/scheduling.py
+++ b/src/jackdawkeel/messages/scheduling.py
@@ -15,9 +15,8 @@
 
 
 class TaskStatus(StrEnum):
-    """Status of an assignment, as its agent reports it."""
+    """How an assignment has ended, as its agent reports it."""
 
-    STARTED = "started"
     DONE = "done"
     FAILED = "failed"
     LOST = "lost"
@@ -97,7 +96,7 @@
         updates_through: Sequence number of the last update that the entry processed.
         evacuated_zones: Availability zones that operators have evacuated.
         evacuation_revision: Store revision of that list; 0 if unknown.
-        entries: Other entries known to the sender.
+        entries: Other entries known to the sender; empty if the list was sent before.
         median_slowness: Median of the slowness that agents report.
         change_interval_s: Minimum time between two reports of changed free capacity, in
             seconds.
@@ -113,7 +112,7 @@
 
 
 class TaskUpdate(msgspec.Struct, frozen=True, array_like=True):
-    """A status change of one assignment.
+    """The end of one assignment.
 
     Attributes:
         sequence: Number of the update, counted from 1 for each entry.
@@ -166,6 +165,8 @@
         slowness: Observed divided by expected run time on the target; 1 if as expected.
         recent_ended: Number of runs on the target that ended in the last seconds.
         recent_failed: Number of those runs that failed or made no progress.
+        is_last: Whether the agent sends no further reports, because it reports to other
+            entries and has no open assignments of this one.
     """
 
     sent_at: float
@@ -178,3 +179,4 @@
     slowness: float
     recent_ended: int
     recent_failed: int
+    is_last: bool = False
--- a/src/jackdawkeel/platform/agent_daemon.py
+++ b/src/jackdawkeel/platform/agent_daemon.py
@@ -52,6 +52,7 @@
             runtime,
             TARGET_INTERFACE,
             options.metrics_port,
+            options.reported_entries,
         )
 
     return run_daemon("agent", environment, options, AGENT_TIMEOUTS, make_node)
--- a/src/jackdawkeel/platform/settings.py
+++ b/src/jackdawkeel/platform/settings.py
@@ -27,9 +27,10 @@
 
 
 class PlatformBounds(msgspec.Struct, frozen=True, rename="camel"):
-    """Time limits of a process; fields that the project does not use are ignored."""
+    """Limits of a deployment; fields that the project does not use are ignored."""
 
     grace_s: float = 6.0
+    remote_penalty: float = 1.5
 
 
 class BindAddresses(msgspec.Struct, frozen=True, rename="camel"):
@@ -97,7 +98,9 @@
         seeds=tuple(parse_address(seed) for seed in raw.seeds.split(",") if seed),
         store=parse_address(raw.platform.address),
         target=_parse_optional_address(raw.app),
-        bounds=TimeBounds(shutdown_s=raw.bounds.grace_s),
+        bounds=TimeBounds(
+            shutdown_s=raw.bounds.grace_s, remote_slowdown=raw.bounds.remote_penalty
+        ),
     )
 
 
--- a/src/jackdawkeel/policy/packing.py
+++ b/src/jackdawkeel/policy/packing.py
@@ -5,10 +5,15 @@
 own availability zone, so that entries rarely compete for the same capacity, and within
 it the target with the largest free share, so that the tasks of a job do not queue
 behind each other.
+
+Targets differ in speed, and tasks take longer outside the rack of their data. A wide
+job with a tight objective is late if one of its tasks is, so targets on which a task
+would end too late are used only if no other target has room.
 """
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from dataclasses import field
 from typing import TYPE_CHECKING
@@ -23,6 +28,8 @@
 
 # Targets whose tasks take this many times as long as expected rank last.
 SLOW_RATIO = 2.0
+# Ratio by which the run times of equal tasks on equal targets vary.
+RUN_TIME_SPREAD = 1.2
 
 
 @dataclass(slots=True)
@@ -61,8 +68,29 @@
     names: list[str] = field(default_factory=list)
 
 
+@dataclass(frozen=True, slots=True)
+class RunTimeLimit:
+    """How much longer than expected the tasks of a job may take.
+
+    Attributes:
+        max_slowdown: Longest run time with which the job meets its objective, divided
+            by the expected run time.
+        remote_slowdown: Run time outside the rack of a task's data, divided by that
+            within it.
+    """
+
+    max_slowdown: float = math.inf
+    remote_slowdown: float = 1.0
+
+
+NO_LIMIT = RunTimeLimit()
+
+
 def place_tasks(
-    step: StepSpec, count: int, targets: Iterable[TargetCapacity]
+    step: StepSpec,
+    count: int,
+    targets: Iterable[TargetCapacity],
+    limit: RunTimeLimit = NO_LIMIT,
 ) -> Placement:
     """Chooses a target for each task until none fits any more.
 
@@ -71,14 +99,22 @@
         count: Number of tasks to place.
         targets: Targets to choose from; ``free`` and ``placed`` of the chosen ones
             are updated.
+        limit: How long the tasks may take.
     """
     usable = [target for target in targets if _is_usable(step, target)]
+    in_time = {
+        target.name: _predict_slowdown(step, target, limit) <= limit.max_slowdown
+        for target in usable
+    }
     placement = Placement()
     for _ in range(count):
         fitting = [target for target in usable if _has_capacity(step, target)]
         if not fitting:
             break
-        best = max(fitting, key=lambda target: _rank(step, target))
+        best = max(
+            fitting,
+            key=lambda target: (in_time[target.name], *_rank(step, target)),
+        )
         best.free = best.free.minus(step.demand)
         best.placed += 1
         placement.names.append(best.name)
@@ -103,6 +139,18 @@
     return target.free.can_fit(step.demand)
 
 
+def _predict_slowdown(
+    step: StepSpec, target: TargetCapacity, limit: RunTimeLimit
+) -> float:
+    is_remote = bool(step.preferred_rack) and not _is_near_data(step, target)
+    remote = limit.remote_slowdown if is_remote else 1.0
+    return target.slowness * remote * RUN_TIME_SPREAD
+
+
+def _is_near_data(step: StepSpec, target: TargetCapacity) -> bool:
+    return bool(step.preferred_rack) and step.preferred_rack in target.labels
+
+
 def _rank(
     step: StepSpec, target: TargetCapacity
 ) -> tuple[bool, bool, bool, bool, float]:
@@ -110,7 +158,7 @@
     return (
         not target.is_avoided,
         target.slowness < SLOW_RATIO,
-        bool(step.preferred_rack) and step.preferred_rack in target.labels,
+        _is_near_data(step, target),
         target.is_local,
         share,
     )
--- a/src/jackdawkeel/policy/waiting.py
+++ b/src/jackdawkeel/policy/waiting.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -51,6 +52,12 @@
         """Latest time to start and still meet the objective."""
         return self.arrived_at + self.objective_s - self.expected_s
 
+    def max_slowdown(self, now: float) -> float:
+        """Returns the longest run time in time, divided by the expected one."""
+        if self.expected_s <= 0:
+            return math.inf
+        return (self.arrived_at + self.objective_s - now) / self.expected_s
+
     @property
     def last_useful_start(self) -> float:
         """Latest time to start and still return a useful answer."""
--- a/src/jackdawkeel/scheduling/agent_node.py
+++ b/src/jackdawkeel/scheduling/agent_node.py
@@ -65,6 +65,7 @@
         runtime: TargetRuntime,
         targets: TargetInterface,
         metrics_port: int,
+        reported_entries: int,
     ) -> None:
         self.settings = settings
         self.log = log
@@ -100,6 +101,7 @@
             executor=self.executor,
             send=self.node.send,
             redial=self.node.redial,
+            reported_entries=reported_entries,
         )
         self.operators = OperatorState(keys, log)
         self.follower = StoreFollower(
--- a/src/jackdawkeel/scheduling/agent_reports.py
+++ b/src/jackdawkeel/scheduling/agent_reports.py
@@ -1,4 +1,4 @@
-"""Sends reports of an agent to the entries that it knows."""
+"""Sends reports of an agent to the entries that it has chosen."""
 
 from __future__ import annotations
 
@@ -7,6 +7,8 @@
 
 from ..messages.scheduling import AgentReport
 from ..messages.scheduling import TargetView
+from ..policy.neighbourhood import choose_entries
+from ..policy.neighbourhood import weigh_entry
 from .leases import LINK_SILENCE_TIMEOUT_S
 from .leases import REPORT_INTERVAL_S
 
@@ -33,14 +35,19 @@
 REDIAL_SILENCE_FRACTION = 0.25
 # An entry is removed after this time without a message from it or an announcement.
 ENTRY_EXPIRY_S = 20.0
+# Silence after which another entry is chosen in addition, until the silent one replies.
+REPLACEMENT_SILENCE_S = 1.0
 
 
 @dataclass(slots=True)
 class EntryContact:
-    """An entry that the agent reports to.
+    """An entry that the agent knows.
 
     Attributes:
         address: Address of its process; the incarnation is empty until it is known.
+        weight: Its rank among the entries that the agent may choose.
+        chosen_at: When the agent chose to report to it; None if it has not. The agent
+            also reports to an owner of open assignments that it has not chosen.
         last_seen_at: When a message from it last arrived; 0 if never.
         announced_at: When it was last announced as an entry.
         full_report_at: When the last full report was sent.
@@ -49,9 +56,12 @@
         redialled_at: When its connection was last replaced.
         change_interval_s: Minimum time between reports of changed free capacity that
             the entry requests, in seconds.
+        is_reported_to: Whether the entry expects further reports.
     """
 
     address: PeerAddress
+    weight: int
+    chosen_at: float | None = None
     last_seen_at: float = 0.0
     announced_at: float = 0.0
     full_report_at: float = 0.0
@@ -59,10 +69,22 @@
     reported_free: Resources | None = None
     redialled_at: float = 0.0
     change_interval_s: float = 0.0
+    is_reported_to: bool = False
+
+    def is_silent(self, now: float) -> bool:
+        """Returns whether it has been chosen for some time, but does not reply."""
+        if self.chosen_at is None:
+            return False
+        silent_since = max(self.last_seen_at, self.chosen_at)
+        return now > silent_since + REPLACEMENT_SILENCE_S
 
 
 class AgentReports:
-    """Decides which report is sent to which entry and when."""
+    """Decides which report is sent to which entry and when.
+
+    Attributes:
+        contacts: All known entries, by link address.
+    """
 
     def __init__(
         self,
@@ -73,13 +95,26 @@
         executor: TaskExecutor,
         send: Callable[[PeerAddress, Message], None],
         redial: Callable[[str], None],
+        reported_entries: int,
     ) -> None:
+        """Creates the reports of an agent that knows no entry yet.
+
+        Args:
+            settings: Settings of the process.
+            clock: Clock in seconds.
+            target: The agent's knowledge about its target.
+            executor: The assignments that it runs.
+            send: Sends a message to a process.
+            redial: Replaces the connection to a link address.
+            reported_entries: Number of entries to report to.
+        """
         self.settings = settings
         self.clock = clock
         self.target = target
         self.executor = executor
         self.send = send
         self.redial = redial
+        self.reported_entries = reported_entries
         self.contacts: dict[str, EntryContact] = {}
 
     def add_entries(self, addresses: Iterable[PeerAddress]) -> None:
@@ -88,7 +123,8 @@
         for address in addresses:
             contact = self.contacts.get(address.link)
             if contact is None:
-                contact = self.contacts[address.link] = EntryContact(address)
+                weight = weigh_entry(self.settings.dialled_link, address.link)
+                contact = self.contacts[address.link] = EntryContact(address, weight)
             contact.announced_at = now
 
     def record_contact(self, address: PeerAddress) -> None:
@@ -109,13 +145,38 @@
         if not self.target.is_prepared:
             return
         now = self.clock()
+        self._choose_entries(now)
         free = self.executor.free_capacity()
         for contact in list(self.contacts.values()):
-            self._report_if_due(contact, now, free)
-            self._replace_silent_link(contact, now)
+            if contact.chosen_at is not None or self._has_open_work(contact):
+                self._report_if_due(contact, now, free)
+                self._replace_silent_link(contact, now)
+            elif contact.is_reported_to:
+                self._send(contact, is_full=False)
             if now > max(contact.last_seen_at, contact.announced_at) + ENTRY_EXPIRY_S:
                 del self.contacts[contact.address.link]
 
+    def _choose_entries(self, now: float) -> None:
+        ranked = sorted(
+            self.contacts, key=lambda link: self.contacts[link].weight, reverse=True
+        )
+        chosen = choose_entries(
+            ranked,
+            lambda link: self.contacts[link].is_silent(now),
+            self.reported_entries,
+        )
+        for link, contact in self.contacts.items():
+            if link in chosen:
+                if contact.chosen_at is None:
+                    contact.chosen_at = now
+                    contact.full_report_at = 0.0
+            else:
+                contact.chosen_at = None
+
+    def _has_open_work(self, contact: EntryContact) -> bool:
+        owner = self.executor.owners.get(contact.address.incarnation)
+        return owner is not None and bool(owner.runs or owner.updates)
+
     def _report_if_due(
         self, contact: EntryContact, now: float, free: Resources
     ) -> None:
@@ -146,9 +207,10 @@
                 self._send(contact, is_full=False)
 
     def send_all(self) -> None:
-        """Sends a full report to every entry."""
+        """Sends a full report to every entry that the agent reports to."""
         for contact in self.contacts.values():
-            self._send(contact, is_full=True)
+            if contact.is_reported_to:
+                self._send(contact, is_full=True)
 
     def _send(self, contact: EntryContact, *, is_full: bool) -> None:
         now = self.clock()
@@ -158,10 +220,12 @@
         contact.reported_free = free
         if is_full:
             contact.full_report_at = now
+        is_chosen = contact.chosen_at is not None
+        contact.is_reported_to = is_chosen or self._has_open_work(contact)
         ended, failed = self.executor.quality.count()
         report = AgentReport(
             sent_at=now,
-            target=self._describe_target(now),
+            target=self._describe_target(now, is_chosen),
             free=free,
             assignments_through=0 if owner is None else owner.assignments_through,
             updates=[] if owner is None else owner.collect_updates(is_full),
@@ -170,10 +234,11 @@
             slowness=round(self.executor.measure_slowness(), 2),
             recent_ended=ended,
             recent_failed=failed,
+            is_last=not contact.is_reported_to,
         )
         self.send(contact.address, report)
 
-    def _describe_target(self, now: float) -> TargetView:
+    def _describe_target(self, now: float, is_chosen: bool) -> TargetView:
         report = self.target.report
         return TargetView(
             node=self.settings.node,
@@ -181,5 +246,5 @@
             availability_zone=self.settings.availability_zone,
             labels=[] if report is None else list(report.labels),
             capacity=self.target.capacity,
-            accepting=self.target.find_refusal(now) is None,
+            accepting=is_chosen and self.target.find_refusal(now) is None,
         )
--- a/src/jackdawkeel/scheduling/agent_views.py
+++ b/src/jackdawkeel/scheduling/agent_views.py
@@ -45,6 +45,8 @@
         unreported: Demands of assignments, by number, that its reports do not count
             yet.
         is_silent: Whether its silence has been logged.
+        listed_version: Version of the list of entries that was last sent to it.
+        listed_at: When that list was sent, in seconds of the entry's clock.
     """
 
     address: PeerAddress
@@ -53,6 +55,8 @@
     updates_through: int = 0
     unreported: dict[int, Resources] = field(default_factory=dict)
     is_silent: bool = False
+    listed_version: int = -1
+    listed_at: float = 0.0
 
     def free_capacity(self) -> Resources:
         """Returns the reported free capacity, less that of unreported assignments."""
@@ -115,6 +119,17 @@
         }
         return view, replaced
 
+    def remove(self, incarnation: str) -> None:
+        """Removes an agent that reports to other entries from now on."""
+        view = self.views.pop(incarnation, None)
+        if view is None:
+            return
+        if self.links.get(view.address.link) == incarnation:
+            del self.links[view.address.link]
+        self.log.record(
+            EventName.AGENT_LEAVING, agent=incarnation, node=view.report.target.node
+        )
+
     def _log_agent_seen(self, view: AgentView) -> None:
         target = view.report.target
         self.log.record(
--- a/src/jackdawkeel/scheduling/entry_node.py
+++ b/src/jackdawkeel/scheduling/entry_node.py
@@ -19,7 +19,6 @@
 from ..link.node import LinkNode
 from ..messages import PeerAddress
 from ..messages.scheduling import AgentReport
-from ..messages.scheduling import OwnerBeat
 from ..metrics import CounterName
 from ..metrics import GaugeName
 from ..metrics import HistogramName
@@ -37,6 +36,7 @@
 from .job import Job
 from .job_scheduler import JobScheduler
 from .operator_state import OperatorState
+from .owner_beats import make_owner_beat
 from .registration import Registration
 from .schedule_trigger import ScheduleTrigger
 from .store_follower import StoreFollower
@@ -110,6 +110,7 @@
             evacuated_zones=lambda: self.operators.evacuated_zones,
             schedule_soon=self.trigger.plan,
             rng=random.Random(log.incarnation),
+            remote_slowdown=settings.bounds.remote_slowdown,
         )
         self.follower = StoreFollower(store, self.operators, log, self.trigger.plan)
         self.registration = Registration(store, self.address, log)
@@ -127,14 +128,8 @@
             return
         view = self.scheduler.handle_report(sender, message)
         if message.is_full:
-            beat = OwnerBeat(
-                echo=message.sent_at,
-                updates_through=view.updates_through,
-                evacuated_zones=sorted(self.operators.evacuated_zones),
-                evacuation_revision=self.operators.revision,
-                entries=self.registration.entries,
-                median_slowness=self.views.median_slowness(),
-                change_interval_s=self.views.change_interval_s(),
+            beat = make_owner_beat(
+                message, view, self.views, self.registration.entry_list, self.operators
             )
             self.node.send(sender, beat)
 
--- a/src/jackdawkeel/scheduling/job_scheduler.py
+++ b/src/jackdawkeel/scheduling/job_scheduler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from typing import TYPE_CHECKING
 
 from ..errors import DispatchError
@@ -12,6 +13,7 @@
 from ..messages.scheduling import StopTasks
 from ..messages.scheduling import TaskAssignment
 from ..messages.scheduling import TaskStatus
+from ..policy.packing import RunTimeLimit
 from ..policy.packing import can_ever_run
 from ..policy.packing import place_tasks
 from ..policy.waiting import JobTiming
@@ -58,6 +60,8 @@
 MAX_ENDED_JOBS = 2000
 # Lost runs of one task after which agents no longer end it for lack of progress.
 MAX_LOST_RUNS = 2
+# Agents of earlier versions also send the status of a run that has started.
+END_STATUSES = frozenset(status.value for status in TaskStatus)
 MS_PER_S = 1000
 
 
@@ -75,6 +79,7 @@
         evacuated_zones: Callable[[], frozenset[str]],
         schedule_soon: Callable[[], None],
         rng: random.Random,
+        remote_slowdown: float = 1.0,
     ) -> None:
         """Creates a scheduler without jobs.
 
@@ -88,6 +93,8 @@
             evacuated_zones: Returns the evacuated availability zones.
             schedule_soon: Requests one call of ``schedule`` in the near future.
             rng: Randomises the retry delays of refused callers.
+            remote_slowdown: Run time of a task outside the rack of its data, divided by
+                that within it.
         """
         self.clock = clock
         self.log = log
@@ -97,10 +104,12 @@
         self.evacuated_zones = evacuated_zones
         self.schedule_soon = schedule_soon
         self.rng = rng
+        self.remote_slowdown = remote_slowdown
         self.jobs: dict[str, Job] = {}
         self.ended_jobs: dict[str, Job] = {}
         self.waiting: list[Job] = []
         self.assignments: dict[int, OpenAssignment] = {}
+        self.by_agent: defaultdict[str, dict[int, OpenAssignment]] = defaultdict(dict)
         self.next_number = 1
         self.next_stop_at: dict[int, float] = {}
         self.run_times = RunTimes()
@@ -301,7 +310,10 @@
         self._count_placed(job, index, targets)
         for target in targets:
             target.is_avoided = target.name in avoided
-        placement = place_tasks(job.spec.steps[index], len(ready), targets)
+        limit = RunTimeLimit(
+            job.timing.max_slowdown(self.clock()), self.remote_slowdown
+        )
+        placement = place_tasks(job.spec.steps[index], len(ready), targets, limit)
         by_agent: dict[str, list[Task]] = {}
         for task, name in zip(ready, placement.names, strict=False):
             by_agent.setdefault(name, []).append(task)
@@ -338,6 +350,7 @@
             )
             self.next_number += 1
             self.assignments[assignment.number] = assignment
+            self.by_agent[agent][assignment.number] = assignment
             job.open_assignments[assignment.number] = assignment
             view.unreported[assignment.number] = spec.demand
             assignments.append(assignment)
@@ -394,6 +407,9 @@
                 self._apply_update(update, sender.incarnation)
         if report.is_full:
             self._resend_missing_assignments(view, report)
+        if report.is_last and not self.by_agent[sender.incarnation]:
+            self.views.remove(sender.incarnation)
+            del self.by_agent[sender.incarnation]
         if self.waiting:
             self.schedule_soon()
         return view
@@ -402,7 +418,7 @@
         assignment = self.assignments.get(update.number)
         if assignment is None or assignment.agent != agent:
             return
-        if update.status == TaskStatus.STARTED:
+        if update.status not in END_STATUSES:
             return
         self._close_assignment(assignment)
         job = assignment.job
@@ -446,6 +462,7 @@
 
     def _close_assignment(self, assignment: OpenAssignment) -> None:
         self.assignments.pop(assignment.number, None)
+        self.by_agent[assignment.agent].pop(assignment.number, None)
         assignment.job.open_assignments.pop(assignment.number, None)
         self.next_stop_at.pop(assignment.number, None)
         view = self.views.views.get(assignment.agent)
@@ -461,10 +478,8 @@
         oldest = self.clock() - ASSIGNMENT_RESEND_AGE_S
         lost = [
             assignment
-            for assignment in self.assignments.values()
-            if assignment.agent == view.address.incarnation
-            and assignment.number not in listed
-            and assignment.sent_at < oldest
+            for assignment in self.by_agent[view.address.incarnation].values()
+            if assignment.number not in listed and assignment.sent_at < oldest
         ]
         for assignment in lost:
             if assignment.is_cancelled:
@@ -478,11 +493,7 @@
 
         Tasks of jobs that have not ended become ready again.
         """
-        lost = [
-            assignment
-            for assignment in self.assignments.values()
-            if assignment.agent == incarnation
-        ]
+        lost = list(self.by_agent.pop(incarnation, {}).values())
         self.log.record(EventName.AGENT_SILENT, agent=incarnation, lost=len(lost))
         for assignment in lost:
             self._close_assignment(assignment)
--- a/src/jackdawkeel/scheduling/process_settings.py
+++ b/src/jackdawkeel/scheduling/process_settings.py
@@ -12,13 +12,16 @@
 
 @dataclass(frozen=True, slots=True)
 class TimeBounds:
-    """Time limits of the deployment, in seconds.
+    """Time limits of the deployment.
 
     Attributes:
-        shutdown_s: Time from SIGTERM to SIGKILL.
+        shutdown_s: Time from SIGTERM to SIGKILL, in seconds.
+        remote_slowdown: Run time of a task outside the rack of its data, divided by
+            that within it.
     """
 
     shutdown_s: float = 6.0
+    remote_slowdown: float = 1.5
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/jackdawkeel/scheduling/registration.py
+++ b/src/jackdawkeel/scheduling/registration.py
@@ -10,6 +10,7 @@
 from ..store.entries import list_entries
 from ..store.entries import register_entry
 from ..store.interface import StoreErrorKind
+from .owner_beats import EntryList
 from .worker_thread import WorkerThread
 
 
@@ -25,12 +26,16 @@
 
 
 class Registration:
-    """Renews the entry's lease and reads the list of entries."""
+    """Renews the entry's lease and reads the list of entries.
+
+    Attributes:
+        entry_list: The other entries.
+    """
 
     def __init__(self, store: Store, address: PeerAddress, log: EventLog) -> None:
         self.store = store
         self.address = address
-        self.entries: list[PeerAddress] = []
+        self.entry_list = EntryList()
         self.lease_id: int | None = None
         self.worker = WorkerThread("registration", self._maintain_forever, log)
 
@@ -53,7 +58,7 @@
         # The store may remove a key although its lease continues.
         if self.lease_id is None or self.address not in entries:
             self._register()
-        self.entries = [entry for entry in entries if entry != self.address]
+        self.entry_list.replace([entry for entry in entries if entry != self.address])
 
     def _register(self) -> None:
         if self.lease_id is None:
--- a/src/jackdawkeel/scheduling/task_executor.py
+++ b/src/jackdawkeel/scheduling/task_executor.py
@@ -281,9 +281,6 @@
         run.phase = RunPhase.RUNNING
         if run.is_cancelled:
             self._send_stop(run)
-            return
-        number = run.assignment.number
-        self._report(run.owner, number, TaskStatus.STARTED, run.attempt, 0.0)
 
     def _handle_refused_start(self, run: TaskRun, outcome: StartOutcome) -> None:
         self._release(run)
--- a/src/jackdawkeel/settings.py
+++ b/src/jackdawkeel/settings.py
@@ -31,6 +31,8 @@
 MAX_CONNECTIONS = 100_000
 DEFAULT_TIMEOUT_MS = 75_000
 DEFAULT_METRICS_PORT = 9105
+DEFAULT_REPORTED_ENTRIES = 12
+MAX_REPORTED_ENTRIES = 1000
 MAX_TIMEOUT_MS = 7_200_000
 MS_PER_S = 1000
 
@@ -103,8 +105,15 @@
 METRICS_PORT = Option(
     "metrics_port", "PORT", "port that serves the metrics", str(DEFAULT_METRICS_PORT)
 )
+REPORTED_ENTRIES = Option(
+    "reported_entries",
+    "COUNT",
+    "entries that an agent reports to",
+    str(DEFAULT_REPORTED_ENTRIES),
+)
 
 PLATFORM_OPTIONS = (METRICS_PORT, ADVERTISE)
+PLATFORM_AGENT_OPTIONS = (*PLATFORM_OPTIONS, REPORTED_ENTRIES)
 ENTRY_OPTIONS = (LISTEN, LINK, ADVERTISE, STORE, AVAILABILITY_ZONE, THREADS)
 AGENT_OPTIONS = (
     LINK,
@@ -128,10 +137,13 @@
         metrics_port: Port that serves the metrics.
         advertised: Link address announced to other processes; None means the address
             that the process listens on.
+        reported_entries: Number of entries that an agent reports to; all of them if
+            there are fewer.
     """
 
     metrics_port: int
     advertised: Address | None = None
+    reported_entries: int = DEFAULT_REPORTED_ENTRIES
 
 
 @dataclass(frozen=True, slots=True)
@@ -252,11 +264,16 @@
 
     Flags take precedence over environment variables.
     """
-    metrics_port = _read(METRICS_PORT, _count_up_to(MAX_PORT), flags, environment)
-    if read_text(ADVERTISE, flags, environment) is None:
-        return DaemonOptions(metrics_port)
-    advertised = _read(ADVERTISE, parse_dialable_address, flags, environment)
-    return DaemonOptions(metrics_port, advertised)
+    advertised = None
+    if read_text(ADVERTISE, flags, environment) is not None:
+        advertised = _read(ADVERTISE, parse_dialable_address, flags, environment)
+    return DaemonOptions(
+        metrics_port=_read(METRICS_PORT, _count_up_to(MAX_PORT), flags, environment),
+        advertised=advertised,
+        reported_entries=_read(
+            REPORTED_ENTRIES, _count_up_to(MAX_REPORTED_ENTRIES), flags, environment
+        ),
+    )
 
 
 def read_text(option: Option, flags: Flags, environment: Environment) -> str | None:
--- a/tests/platform_adapter/test_settings.py
+++ b/tests/platform_adapter/test_settings.py
@@ -22,6 +22,7 @@
     "seeds": "10.1.0.13:8166,10.2.0.30:8166",
     "app": "10.1.0.14:8165",
     "bounds.graceS": "8",
+    "bounds.remotePenalty": "1.25",
     "platform.address": "10.200.1.7:8169",
     "limits.cpuShares": "0.645",
     "aFieldOfTomorrow": "1",
@@ -45,6 +46,7 @@
         self.assertIsNone(settings.callers)
         self.assertEqual(len(settings.seeds), 2)
         self.assertEqual(settings.bounds.shutdown_s, 8.0)
+        self.assertEqual(settings.bounds.remote_slowdown, 1.25)
 
     def test_empty_seeds_are_accepted(self) -> None:
         self.assertEqual(parse_settings(encode(seeds="")).seeds, ())
--- a/tests/policy/test_packing.py
+++ b/tests/policy/test_packing.py
@@ -4,6 +4,7 @@
 
 import unittest
 
+from jackdawkeel.policy.packing import RunTimeLimit
 from jackdawkeel.policy.packing import TargetCapacity
 from jackdawkeel.policy.packing import can_ever_run
 from jackdawkeel.policy.packing import place_tasks
@@ -55,6 +56,17 @@
         step = StepSpec(4, CORE, max_per_target=2)
         self.assertEqual(sorted(place_tasks(step, 4, targets).names), ["a", "b", "b"])
 
+    def test_targets_on_which_a_task_would_end_too_late_are_used_last(self) -> None:
+        """For a job with a tight objective whose rack is full."""
+        targets = [
+            make_target("slow", cores=8, slowness=1.3),
+            make_target("fast", cores=4, free=2, slowness=1.0, is_local=False),
+        ]
+        step = StepSpec(3, CORE, preferred_rack="rack-1")
+        limit = RunTimeLimit(max_slowdown=1.9, remote_slowdown=1.5)
+        names = place_tasks(step, 3, targets, limit).names
+        self.assertEqual(names, ["fast", "fast", "slow"])
+
     def test_the_preferred_rack_ranks_before_the_own_zone(self) -> None:
         targets = [
             make_target("near"),
--- a/tests/scheduling/test_agent_reports.py
+++ b/tests/scheduling/test_agent_reports.py
@@ -6,7 +6,9 @@
 
 from jackdawkeel.messages import PeerAddress
 from jackdawkeel.messages.scheduling import AgentReport
+from jackdawkeel.messages.scheduling import TaskStatus
 from jackdawkeel.scheduling.agent_reports import ENTRY_EXPIRY_S
+from jackdawkeel.scheduling.agent_reports import REPLACEMENT_SILENCE_S
 from jackdawkeel.scheduling.agent_reports import AgentReports
 from jackdawkeel.scheduling.leases import LINK_SILENCE_TIMEOUT_S
 from jackdawkeel.scheduling.leases import REPORT_INTERVAL_S
@@ -22,6 +24,7 @@
 from tests.fakes import make_log
 
 
+REPORTED_ENTRIES = 10
 ENTRY = make_address("a" * 16)
 SEED = PeerAddress("", ENTRY.link)
 SETTINGS = ProcessSettings(
@@ -61,6 +64,7 @@
             executor=self.executor,
             send=self.outbox.send,
             redial=self.outbox.redial,
+            reported_entries=REPORTED_ENTRIES,
         )
 
     def pop_recipients(self) -> list[PeerAddress]:
@@ -136,6 +140,70 @@
         self.assertGreater(redial_counts[20], 0)
         self.assertLess(redial_counts[-1], 12)
 
+    def add_entries(self, count: int) -> list[PeerAddress]:
+        """Adds entries of which each replies to the first report."""
+        entries = [
+            make_address(f"{port:016x}", port) for port in range(7000, 7000 + count)
+        ]
+        for entry in entries:
+            self.reports.record_contact(entry)
+        return entries
+
+    def pop_reports(self) -> dict[PeerAddress, AgentReport]:
+        """Returns the newest report to each entry and removes all reports."""
+        reports = {
+            item.recipient: item.message
+            for item in self.outbox.sent
+            if isinstance(item.message, AgentReport)
+        }
+        self.outbox.sent.clear()
+        return reports
+
+    def test_a_large_fleet_gets_reports_to_a_bounded_number_of_entries(self) -> None:
+        self.add_entries(35)
+        self.reports.tick()
+        self.assertEqual(REPORTED_ENTRIES, len(self.pop_reports()))
+
+    def test_a_silent_entry_is_replaced_until_it_replies(self) -> None:
+        self.add_entries(35)
+        self.reports.tick()
+        chosen = list(self.pop_reports())
+        silent, *others = chosen
+        self.clock.advance(REPLACEMENT_SILENCE_S + 0.1)
+        for entry in others:
+            self.reports.record_contact(entry)
+        self.reports.tick()
+        during = self.pop_reports()
+        (replacement,) = set(during) - set(chosen)
+        self.assertLess(set(chosen), set(during))
+        self.assertFalse(during[replacement].is_last)
+        self.reports.record_contact(silent)
+        self.reports.tick()
+        last = self.pop_reports()[replacement]
+        self.assertTrue(last.is_last)
+        self.assertFalse(last.target.accepting)
+        self.clock.advance(REPORT_INTERVAL_S)
+        self.reports.tick()
+        self.assertNotIn(replacement, self.pop_reports())
+
+    def test_an_owner_of_open_assignments_gets_reports_although_not_chosen(
+        self,
+    ) -> None:
+        """Its tasks run on, but it sends no more of them to this agent."""
+        entries = self.add_entries(35)
+        self.reports.tick()
+        chosen = self.pop_reports()
+        owner_address = next(entry for entry in entries if entry not in chosen)
+        owner = self.executor.renew_owner(owner_address, self.clock())
+        owner.add_update(1, TaskStatus.DONE, 1, 5.0)
+        self.reports.report_changes([owner])
+        report = self.pop_reports()[owner_address]
+        self.assertFalse(report.is_last)
+        self.assertFalse(report.target.accepting)
+        owner.acknowledge_through(1)
+        self.reports.tick()
+        self.assertTrue(self.pop_reports()[owner_address].is_last)
+
     def test_an_entry_that_is_no_longer_announced_is_removed(self) -> None:
         self.reports.record_contact(ENTRY)
         self.clock.advance(ENTRY_EXPIRY_S + 0.1)
--- a/tests/scheduling/test_job_scheduler.py
+++ b/tests/scheduling/test_job_scheduler.py
@@ -12,6 +12,8 @@
 import unittest
 from typing import TYPE_CHECKING
 
+import msgspec
+
 from jackdawkeel.errors import DispatchError
 from jackdawkeel.errors import ErrorKind
 from jackdawkeel.messages.scheduling import AgentReport
@@ -358,6 +360,29 @@
         assert isinstance(job, DispatchError)
         self.assertEqual(job.kind, ErrorKind.NO_TARGET)
 
+    def deliver_last(self, agent: FakeAgent) -> None:
+        """Delivers a report after which the agent reports to other entries."""
+        agent.accepting = False
+        report = msgspec.structs.replace(agent.report(), is_last=True)
+        self.scheduler.handle_report(agent.address, report)
+
+    def test_an_agent_that_reports_to_other_entries_is_removed(self) -> None:
+        self.deliver_last(self.agent)
+        self.assertEqual({}, self.scheduler.views.views)
+        self.clock.advance(10.0)
+        self.scheduler.tick()
+        self.scheduler.views.check_silence()
+        self.assertEqual([], self.outbox.redialled)
+
+    def test_an_agent_that_received_tasks_after_its_last_report_is_kept(self) -> None:
+        """An assignment may cross the last report; its tasks must not be forgotten."""
+        job = self.accept(make_job(1))
+        ((_, assignment),) = self.pop_assignments()
+        self.deliver_last(self.agent)
+        self.assertIn(self.agent.address.incarnation, self.scheduler.views.views)
+        self.deliver(self.agent, (assignment.number, TaskStatus.DONE))
+        self.assertIs(job.result, JobResult.COMPLETED)
+
     def test_no_assignment_is_sent_to_an_evacuated_zone(self) -> None:
         self.evacuated = frozenset(["zone-a"])
         job, _ = self.submit()
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -15,7 +15,7 @@
 from jackdawkeel.settings import AGENT_OPTIONS
 from jackdawkeel.settings import CLIENT_OPTIONS
 from jackdawkeel.settings import ENTRY_OPTIONS
-from jackdawkeel.settings import PLATFORM_OPTIONS
+from jackdawkeel.settings import PLATFORM_AGENT_OPTIONS
 from jackdawkeel.ticket import AvailabilityZoneModel
 from jackdawkeel.ticket import ServiceModel
 from jackdawkeel.ticket import TeamModel
@@ -26,7 +26,7 @@
     *ENTRY_OPTIONS,
     *AGENT_OPTIONS,
     *CLIENT_OPTIONS,
-    *PLATFORM_OPTIONS,
+    *PLATFORM_AGENT_OPTIONS,
     *job.COMMAND.options,
     *timeline.COMMAND.options,
 }
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -19,6 +19,7 @@
 from jackdawkeel.settings import Option
 from jackdawkeel.settings import read_agent_settings
 from jackdawkeel.settings import read_client_settings
+from jackdawkeel.settings import read_daemon_options
 from jackdawkeel.settings import read_entry_settings
 
 
@@ -66,11 +67,17 @@
     "slots": ("0", "eight"),
     "connections": ("0", "0x10"),
 }
+INVALID_PLATFORM_TEXTS: Texts = {
+    "metrics_port": ("0", "65536", "http"),
+    "reported_entries": ("0", "-1", "1001", "2.5", "all"),
+    "advertise": ("0.0.0.0:9090",),
+}
 INVALID_CLIENT_TEXTS: Texts = {"entry": ("127.0.0.1:1",), "timeout_ms": ("0",)}
 READERS: list[tuple[Reader, dict[str, str], Texts]] = [
     (read_entry_settings, ENTRY_FLAGS, INVALID_ENTRY_TEXTS),
     (read_agent_settings, AGENT_FLAGS, INVALID_AGENT_TEXTS),
     (read_client_settings, {"entry": "http://127.0.0.1:1"}, INVALID_CLIENT_TEXTS),
+    (read_daemon_options, {}, INVALID_PLATFORM_TEXTS),
 ]
 
 
