Let test fleets wait until each agent reports to each entry itself

Cause of both entries of KNOWN-RED.txt: a fleet counted as connected when each entry listed each agent, also by another entry's observation, so that a test could freeze or stop the only entry that an agent reported to. The fleet now also reads from the log of each entry which agents have sent it heartbeats since its start. The checks of the two tests are unchanged.

--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -19,6 +19,7 @@
 from tests.standins.processes import ManagedProcess
 from tests.standins.processes import loopback_host
 from tests.standins.processes import pick_address
+from tests.standins.processes import read_events
 from tests.standins.processes import wait_until
 from tests.standins.proxy import FaultProxy
 from tests.standins.target import TaskStart
@@ -219,8 +220,15 @@
         )
 
     def is_fully_connected(self) -> bool:
-        """Whether every entry lists every agent and issues job ids."""
+        """Whether every agent reports to every entry itself, which issues job ids."""
+        agents = {
+            read_events(agent.process.log)[-1]["task_uuid"]
+            for agent in self.agents
+            if agent.process.is_running
+        }
         for entry in self.entries:
+            if not agents <= find_reporting_agents(entry.process.log):
+                return False
             status = str(entry.caller.get_status().body)
             if not all(agent.advertised in status for agent in self.agents):
                 return False
@@ -295,3 +303,17 @@
         """Prints the last lines of each process's log to standard error."""
         for process in self.processes:
             print(process.log_tail(), file=sys.stderr)
+
+
+def find_reporting_agents(log: Path) -> set[str]:
+    """Returns the incarnations that have reported to the present process of an entry.
+
+    The status report of an entry also lists agents that only other entries observe.
+    """
+    agents: set[str] = set()
+    for event in read_events(log):
+        if event["message_type"] == "process_started":
+            agents.clear()
+        elif event["message_type"] == "agent_heard":
+            agents.add(event["agent"])
+    return agents
--- a/tests/standins/processes.py
+++ b/tests/standins/processes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import os
 import random
 import signal
@@ -12,6 +13,7 @@
 from contextlib import suppress
 from pathlib import Path
 from typing import TYPE_CHECKING
+from typing import Any
 from typing import Self
 
 
@@ -157,3 +159,9 @@
         errors = self.error_log.read_text(errors="replace").splitlines()
         lines = [*other_events[-LOG_TAIL_LINES:], *errors[-LOG_TAIL_LINES:]]
         return "\n".join([f"--- {self.name}", *lines])
+
+
+def read_events(log: Path) -> list[dict[str, Any]]:
+    """Returns the complete events in the log of a process."""
+    lines = log.read_bytes().splitlines(keepends=True)
+    return [json.loads(line) for line in lines if line.endswith(b"\n")]
