Give the admission of jobs a module of its own; count waiting work per service

Cause: the prediction of a job's wait counted the waiting jobs of all services of the entry, and ignored jobs that arrived in the same instant. Both have a test that failed before.

--- a/src/jackdawkeel/scheduling/entry_node.py
+++ b/src/jackdawkeel/scheduling/entry_node.py
@@ -135,7 +135,7 @@
 
     def _schedule(self) -> bool:
         self.scheduler.schedule()
-        return bool(self.scheduler.waiting)
+        return bool(self.scheduler.queue.jobs)
 
     # HTTP requests.
 
@@ -253,7 +253,7 @@
         metrics.set_gauge(GaugeName.AGENTS, usable, "usable")
         metrics.set_gauge(GaugeName.REQUESTS_IN_FLIGHT, self.in_flight)
         metrics.set_gauge(GaugeName.JOBS, len(self.scheduler.jobs), "open")
-        metrics.set_gauge(GaugeName.JOBS, len(self.scheduler.waiting), "waiting")
+        metrics.set_gauge(GaugeName.JOBS, len(self.scheduler.queue.jobs), "waiting")
         configuration = self.operators.configuration
         version = 0 if configuration is None else configuration.version
         metrics.set_gauge(GaugeName.CONFIGURATION_REVISION, version)
@@ -330,7 +330,7 @@
     async def _drain(self) -> None:
         drain_started_at = self.clock()
         shutdown_at = drain_started_at + self.settings.bounds.shutdown_s - EXIT_MARGIN_S
-        self.scheduler.shutdown_at = shutdown_at
+        self.scheduler.queue.shutdown_at = shutdown_at
         while self.clock() < shutdown_at:
             is_out_of_rotation = self.clock() >= drain_started_at + BALANCER_REMOVAL_S
             if is_out_of_rotation and not self.in_flight:
--- a/src/jackdawkeel/scheduling/job_scheduler.py
+++ b/src/jackdawkeel/scheduling/job_scheduler.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING
 
 from ..errors import DispatchError
@@ -14,22 +13,19 @@
 from ..messages.scheduling import TaskAssignment
 from ..messages.scheduling import TaskStatus
 from ..policy.packing import RunTimeLimit
-from ..policy.packing import can_ever_run
-from ..policy.packing import count_fitting_tasks
 from ..policy.packing import place_tasks
 from ..policy.waiting import JobTiming
-from ..policy.waiting import can_end_before
 from ..policy.waiting import choose_retry_delay_s
-from ..policy.waiting import predict_wait_s
 from ..policy.waiting import rank_job
 from ..policy.waiting import would_end_too_late
-from ..policy.waiting import would_wait_too_long
 from .job import Job
 from .job import JobResult
 from .job import OpenAssignment
 from .job import TaskPhase
 from .job import longest_chain_s
 from .job import make_tasks
+from .job_admission import JobQueue
+from .job_admission import find_refusal
 from .open_assignments import OpenAssignments
 from .run_times import RunTimes
 
@@ -67,18 +63,14 @@
 MAX_LOST_RUNS = 2
 # Agents of earlier versions also send the status of a run that has started.
 END_STATUSES = frozenset(status.value for status in TaskStatus)
-# Bounds the capacity that very short tasks are predicted to free.
-MIN_RUN_S = 0.05
 MS_PER_S = 1000
-MILLIS_PER_CORE = 1000
 
 
 class JobScheduler:
     """Manages the jobs of an entry and assigns their tasks to agents.
 
     Attributes:
-        short_since: Since when jobs have been waiting for capacity without a break, in
-            seconds of the clock; infinite if none waits.
+        queue: Jobs with tasks that wait for capacity.
     """
 
     def __init__(
@@ -120,13 +112,11 @@
         self.remote_slowdown = remote_slowdown
         self.jobs: dict[str, Job] = {}
         self.ended_jobs: dict[str, Job] = {}
-        self.waiting: list[Job] = []
-        self.short_since = math.inf
+        self.queue = JobQueue()
         self.assignments = OpenAssignments()
         self.next_number = 1
         self.next_stop_at: dict[int, float] = {}
         self.run_times = RunTimes()
-        self.shutdown_at: float | None = None
 
     # Requests of callers.
 
@@ -167,7 +157,7 @@
             return refusal
         job.waiters.append(waiter)
         self.jobs[spec.job_id] = job
-        self.waiting.append(job)
+        self.queue.jobs.append(job)
         self.schedule_soon()
         return job
 
@@ -189,71 +179,25 @@
 
     def _find_refusal(self, job: Job) -> DispatchError | None:
         service = job.queue.service
-        targets = self.views.target_capacities(service, self.evacuated_zones())
-        if not targets:
-            return self._refuse(
-                job, ErrorKind.NO_TARGET, f"service {service} has no target in service"
-            )
-        if not all(can_ever_run(step, targets) for step in job.spec.steps):
-            text = (
-                "no target in service has the label and capacity for a task of the job"
-            )
-            return self._refuse(job, ErrorKind.NO_TARGET, text)
-        now = self.clock()
-        wait_s = self.predict_wait_s(job, targets)
-        if self.shutdown_at is not None and not can_end_before(
-            job.timing, now, wait_s, self.shutdown_at
-        ):
-            text = "the entry shuts down before the job would end"
-            return self._refuse(job, ErrorKind.SHUTTING_DOWN, text)
-        shortage_s = now - min(now, self.short_since)
-        if not would_wait_too_long(job.timing, now, wait_s, shortage_s):
-            return None
-        retry_s = choose_retry_delay_s(wait_s, self.rng)
-        text = f"the job would wait about {wait_s:.3f} s for free capacity"
-        return self._refuse(job, ErrorKind.OVERLOADED, text, retry_s)
-
-    def _refuse(
-        self, job: Job, kind: ErrorKind, text: str, retry_s: float | None = None
-    ) -> DispatchError:
-        self.log.record(
-            EventName.JOB_REFUSED,
-            job=job.spec.job_id,
-            queue=job.queue.name,
-            kind=kind.value,
-            reason=text,
-            waiting_jobs=len(self.waiting),
-            open_orders=len(self.assignments),
+        refusal = find_refusal(
+            job,
+            self.views.target_capacities(service, self.evacuated_zones()),
+            self.queue,
+            self.assignments.claimed[service],
+            self.clock(),
+            self.rng,
         )
-        retry_ms = None if retry_s is None else round(retry_s * MS_PER_S)
-        return DispatchError(kind, text, retry_ms)
-
-    def predict_wait_s(self, job: Job, targets: list[TargetCapacity]) -> float:
-        """Returns the predicted wait of a new job for its tasks, in seconds."""
-        now = self.clock()
-        rank = _rank(job, now)
-        ahead = sum(
-            other.waiting_cores() for other in self.waiting if _rank(other, now) < rank
-        )
-        if not ahead:
-            return 0.0
-        step = job.spec.steps[0]
-        return predict_wait_s(
-            needed_cores=ahead + job.waiting_cores(),
-            free_cores=count_fitting_tasks(step, targets)
-            * step.demand.cpu_millis
-            / MILLIS_PER_CORE,
-            freed_cores_per_s=self._freed_cores_per_s(job, targets),
-        )
-
-    def _freed_cores_per_s(self, job: Job, targets: list[TargetCapacity]) -> float:
-        """Returns the capacity that tasks of this entry free, at least one target's."""
-        claimed = self.assignments.claimed[job.queue.service]
-        mean_target = sum(target.capacity.cpu_millis for target in targets) / len(
-            targets
-        )
-        least = mean_target / MILLIS_PER_CORE / max(job.timing.expected_s, MIN_RUN_S)
-        return max(claimed.freed_cores_per_s, least)
+        if refusal is not None:
+            self.log.record(
+                EventName.JOB_REFUSED,
+                job=job.spec.job_id,
+                queue=job.queue.name,
+                kind=refusal.kind.value,
+                reason=refusal.message,
+                waiting_jobs=len(self.queue.jobs),
+                open_orders=len(self.assignments),
+            )
+        return refusal
 
     def handle_disconnect(self, job: Job, waiter: asyncio.Future[None]) -> None:
         """Removes a disconnected caller; a job without callers is cancelled."""
@@ -291,30 +235,26 @@
 
     def schedule(self) -> None:
         """Assigns ready tasks of waiting jobs to agents with free capacity."""
-        if not self.waiting:
-            self.short_since = math.inf
+        if not self.queue.jobs:
+            self.queue.measure_shortage(self.clock())
             return
         now = self.clock()
-        self.waiting = [
-            job for job in self.waiting if not job.has_ended and job.has_ready_tasks()
+        self.queue.jobs = [
+            job
+            for job in self.queue.jobs
+            if not job.has_ended and job.has_ready_tasks()
         ]
-        self.waiting.sort(key=lambda job: _rank(job, now))
+        self.queue.jobs.sort(key=lambda job: _rank(job, now))
         evacuated = self.evacuated_zones()
         targets_by_service: dict[str, list[TargetCapacity]] = {}
-        for job in self.waiting:
+        for job in self.queue.jobs:
             service = job.queue.service
             targets = targets_by_service.get(service)
             if targets is None:
                 targets = self.views.target_capacities(service, evacuated)
                 targets_by_service[service] = targets
             self._assign_tasks(job, targets)
-        self._measure_shortage(now)
-
-    def _measure_shortage(self, now: float) -> None:
-        if not any(job.has_ready_tasks() for job in self.waiting):
-            self.short_since = math.inf
-        elif math.isinf(self.short_since):
-            self.short_since = now
+        self.queue.measure_shortage(now)
 
     def _assign_tasks(self, job: Job, targets: list[TargetCapacity]) -> None:
         if self._is_blocked(job):
@@ -437,7 +377,7 @@
             self._resend_missing_assignments(view, report)
         if report.is_last and not self.assignments.list_of_agent(sender.incarnation):
             self.views.remove(sender.incarnation)
-        if self.waiting:
+        if self.queue.jobs:
             self.schedule_soon()
         return view
 
@@ -483,8 +423,8 @@
 
     def _requeue(self, job: Job) -> None:
         if job.has_ready_tasks():
-            if job not in self.waiting:
-                self.waiting.append(job)
+            if job not in self.queue.jobs:
+                self.queue.jobs.append(job)
             self.schedule_soon()
 
     def _close_assignment(self, assignment: OpenAssignment) -> None:
@@ -597,7 +537,7 @@
         self.schedule()
 
     def _refuse_late_jobs(self, now: float) -> None:
-        for job in list(self.waiting):
+        for job in list(self.queue.jobs):
             if job.has_begun or job.has_ended:
                 continue
             if would_end_too_late(job.timing, now, 0.0):
--- a/tests/scheduling/test_job_scheduler.py
+++ b/tests/scheduling/test_job_scheduler.py
@@ -346,7 +346,7 @@
         self.assertLess(self.clock(), 1002)
 
     def test_an_entry_that_shuts_down_accepts_only_jobs_that_end_in_time(self) -> None:
-        self.scheduler.shutdown_at = self.clock() + 1.0
+        self.scheduler.queue.shutdown_at = self.clock() + 1.0
         short, long = StepSpec(1, CORE, 100), StepSpec(1, CORE, 800)
         job, _ = self.submit(JobSpec("4" * 16, "", (short,)))
         self.assertIsInstance(job, Job)
@@ -360,6 +360,29 @@
         assert isinstance(job, DispatchError)
         self.assertEqual(job.kind, ErrorKind.NO_TARGET)
 
+    def test_a_job_that_would_start_too_late_is_refused_at_once(self) -> None:
+        """Three jobs of 100 ms fill the targets, with an objective of 300 ms."""
+        for number in range(3):
+            self.accept(make_job(4, job_id=f"{number:016x}"))
+        refused, waiter = self.submit(make_job(4, job_id="f" * 16))
+        assert isinstance(refused, DispatchError)
+        self.assertIs(refused.kind, ErrorKind.OVERLOADED)
+        self.assertFalse(waiter.done())
+        tasks = {assignment.task for _, assignment in self.pop_assignments()}
+        self.assertFalse(any(task.startswith("f" * 16) for task in tasks))
+
+    def test_waiting_jobs_of_another_service_delay_no_job(self) -> None:
+        for number in range(3):
+            self.accept(make_job(4, job_id=f"{number:016x}"))
+        other = FakeAgent("c", 9, self.clock)
+        report = other.report(open_assignments=[])
+        target = msgspec.structs.replace(report.target, service="other")
+        report = msgspec.structs.replace(report, target=target)
+        self.scheduler.handle_report(other.address, report)
+        queue = Queue("r", "host", "/r/", "other", 0, 2, 2.0, 100)
+        job, _ = self.submit(make_job(4, job_id="f" * 16), queue)
+        self.assertIsInstance(job, Job)
+
     def deliver_last(self, agent: FakeAgent) -> None:
         """Delivers a report after which the agent reports to other entries."""
         agent.accepting = False
