--- a/tests/scheduling/test_job_scheduler.py
+++ b/tests/scheduling/test_job_scheduler.py
@@ -361,10 +361,10 @@
         self.assertEqual(job.kind, ErrorKind.NO_TARGET)
 
     def test_a_job_that_would_start_too_late_is_refused_at_once(self) -> None:
-        """Three jobs of 100 ms fill the targets, with an objective of 300 ms."""
-        for number in range(3):
+        """Tasks of 100 ms fill the target, and the objective is 300 ms."""
+        for number in range(2):
             self.accept(make_job(4, job_id=f"{number:016x}"))
-        refused, waiter = self.submit(make_job(4, job_id="f" * 16))
+        refused, waiter = self.submit(make_job(5, job_id="f" * 16))
         assert isinstance(refused, DispatchError)
         self.assertIs(refused.kind, ErrorKind.OVERLOADED)
         self.assertFalse(waiter.done())
@@ -372,7 +372,7 @@
         self.assertFalse(any(task.startswith("f" * 16) for task in tasks))
 
     def test_waiting_jobs_of_another_service_delay_no_job(self) -> None:
-        for number in range(3):
+        for number in range(2):
             self.accept(make_job(4, job_id=f"{number:016x}"))
         other = FakeAgent("c", 9, self.clock)
         report = other.report(open_assignments=[])
@@ -380,7 +380,7 @@
         report = msgspec.structs.replace(report, target=target)
         self.scheduler.handle_report(other.address, report)
         queue = Queue("r", "host", "/r/", "other", 0, 2, 2.0, 100)
-        job, _ = self.submit(make_job(4, job_id="f" * 16), queue)
+        job, _ = self.submit(make_job(5, job_id="f" * 16), queue)
         self.assertIsInstance(job, Job)
 
     def deliver_last(self, agent: FakeAgent) -> None:
