Admit jobs while a starting entry still discovers agents

Predicted waits now count from 2 s after the entry's start, since targets announce themselves every 1.5 s.

--- a/src/jackdawkeel/scheduling/entry_node.py
+++ b/src/jackdawkeel/scheduling/entry_node.py
@@ -66,6 +66,9 @@
 # half a second of their start.
 FIRST_TARGET_WAIT_S = 1.5
 FIRST_TARGET_POLL_INTERVAL_S = 0.02
+# Time after which all agents of a starting fleet have reported their capacity: targets
+# send a heartbeat every 1.5 s.
+AGENT_DISCOVERY_S = 2.0
 METRICS_PATH = "/metrics"
 
 
@@ -291,6 +294,7 @@
             ):
                 stack.enter_context(resource)
             await self._wait_for_targets()
+            self.scheduler.queue.discovers_until = self.clock() + AGENT_DISCOVERY_S
             await self.loop.run_in_executor(None, server.__enter__)
             tasks = [
                 asyncio.create_task(
--- a/src/jackdawkeel/scheduling/job_admission.py
+++ b/src/jackdawkeel/scheduling/job_admission.py
@@ -40,12 +40,15 @@
         jobs: The jobs.
         short_since: Since when jobs have been waiting without a break, in seconds of
             the clock; infinite if none waits.
+        discovers_until: Until when agents are still being discovered after the start of
+            the entry, in seconds of the clock; capacity is then higher than known.
         shutdown_at: When the entry ends, in seconds of the clock; None if it does not
             shut down.
     """
 
     jobs: list[Job] = field(default_factory=list)
     short_since: float = math.inf
+    discovers_until: float = 0.0
     shutdown_at: float | None = None
 
     def measure_shortage(self, now: float) -> None:
@@ -101,6 +104,8 @@
     claimed: ClaimedCapacity,
     now: float,
 ) -> float:
+    if now < queue.discovers_until:
+        return 0.0
     rank = rank_job(job.timing, now, has_begun=False)
     ahead = sum(
         other.waiting_cores()
--- a/tests/scheduling/test_job_scheduler.py
+++ b/tests/scheduling/test_job_scheduler.py
@@ -371,6 +371,14 @@
         tasks = {assignment.task for _, assignment in self.pop_assignments()}
         self.assertFalse(any(task.startswith("f" * 16) for task in tasks))
 
+    def test_no_job_is_refused_for_its_wait_while_agents_are_being_discovered(
+        self,
+    ) -> None:
+        """After all machines have lost power, agents report one after the other."""
+        self.scheduler.queue.discovers_until = self.clock() + 1.0
+        for number in range(3):
+            self.accept(make_job(5, job_id=f"{number:016x}"))
+
     def test_waiting_jobs_of_another_service_delay_no_job(self) -> None:
         for number in range(2):
             self.accept(make_job(4, job_id=f"{number:016x}"))
