Reconnect to a newly chosen entry only after it stayed silent; widen idle agents later

A contact that an agent chose again counted its silence from its last message, possibly minutes ago, and replaced the new connection at once.

--- a/src/jackdawkeel/policy/neighbourhood.py
+++ b/src/jackdawkeel/policy/neighbourhood.py
@@ -31,7 +31,7 @@
 IDLE_FREE_SHARE = 0.75
 BUSY_FREE_SHARE = 0.5
 # Idle time after which an agent reports to IDLE_MULTIPLE times as many entries.
-IDLE_DELAY_S = 5.0
+IDLE_DELAY_S = 10.0
 IDLE_MULTIPLE = 1.5
 
 
--- a/src/jackdawkeel/scheduling/agent_reports.py
+++ b/src/jackdawkeel/scheduling/agent_reports.py
@@ -75,12 +75,14 @@
     change_interval_s: float = 0.0
     is_reported_to: bool = False
 
+    def measure_silence_s(self, now: float) -> float:
+        """Returns for how long it has not replied to reports, in seconds."""
+        return now - max(self.last_seen_at, self.chosen_at or 0.0)
+
     def is_silent(self, now: float) -> bool:
         """Returns whether it has been chosen for some time, but does not reply."""
-        if self.chosen_at is None:
-            return False
-        silent_since = max(self.last_seen_at, self.chosen_at)
-        return now > silent_since + REPLACEMENT_SILENCE_S
+        is_chosen = self.chosen_at is not None
+        return is_chosen and self.measure_silence_s(now) > REPLACEMENT_SILENCE_S
 
 
 def choose_change_interval_s(requested_s: float) -> float:
@@ -222,7 +224,7 @@
             self._send(contact, is_full=False)
 
     def _replace_silent_link(self, contact: EntryContact, now: float) -> None:
-        silent_s = now - contact.last_seen_at
+        silent_s = contact.measure_silence_s(now)
         wait_s = max(LINK_SILENCE_TIMEOUT_S, REDIAL_SILENCE_FRACTION * silent_s)
         if silent_s > LINK_SILENCE_TIMEOUT_S and now > contact.redialled_at + wait_s:
             contact.redialled_at = now
