--- a/src/jackdawkeel/scheduling/agent_reports.py
+++ b/src/jackdawkeel/scheduling/agent_reports.py
@@ -32,7 +32,7 @@
 # Minimum time between reports to an entry whose assignments have not changed.
 MIN_CHANGE_INTERVAL_S = 0.05
 # Longest requested interval at which changes are reported between two full reports.
-MAX_CHANGE_INTERVAL_S = 0.15
+MAX_CHANGE_INTERVAL_S = 0.125
 # Time between reports to an entry from which no message arrives.
 SILENT_ENTRY_INTERVAL_S = 0.5
 # Time between reconnects to a silent entry, as a fraction of its silence so far.
--- a/src/jackdawkeel/scheduling/agent_views.py
+++ b/src/jackdawkeel/scheduling/agent_views.py
@@ -29,8 +29,8 @@
 # Agents with an older report get no assignments; two reports may be lost.
 USABLE_AGE_S = 0.5
 # Reports of changed free capacity that an entry requests per second, in addition to
-# the full reports; as many as the full reports of 80 agents.
-MAX_CHANGES_PER_S = 400
+# the full reports; as many as the full reports of 48 agents.
+MAX_CHANGES_PER_S = 240
 
 
 @dataclass(slots=True, eq=False)
