Measure the quality of a target once per tick, not for each report

An agent computed the median slowness and counted its recent ends for each of 40 to 100 reports a second.

--- a/src/jackdawkeel/scheduling/task_executor.py
+++ b/src/jackdawkeel/scheduling/task_executor.py
@@ -77,7 +77,15 @@
 
 
 class TaskExecutor:
-    """Tracks all assignments of an agent and starts and stops their runs."""
+    """Tracks all assignments of an agent and starts and stops their runs.
+
+    Attributes:
+        median_slowness: Median of the slowness of all targets, as an entry reports it.
+        slowness: Observed divided by expected run time on the target, as of the last
+            tick.
+        recent_ends: Number of recent runs that ended, and of those that failed or made
+            no progress, as of the last tick.
+    """
 
     def __init__(
         self,
@@ -117,6 +125,8 @@
         self.paused_until = 0.0
         self.listed_at = 0.0
         self.median_slowness = 1.0
+        self.slowness = 1.0
+        self.recent_ends = (0, 0)
         self.next_stop_at: dict[Run, float] = {}
         self.counts: Counter[str] = Counter()
 
@@ -416,7 +426,9 @@
         """
         now = self.clock()
         self.quality.drop_expired(now)
-        slowness = self.measure_slowness() / self.median_slowness
+        self.slowness = self.measure_slowness()
+        self.recent_ends = self.quality.count()
+        slowness = self.slowness / self.median_slowness
         for owner in list(self.owners.values()):
             if now >= owner.lease_until and not owner.is_expired:
                 self._expire_owner(owner)
--- a/tests/scheduling/test_task_executor.py
+++ b/tests/scheduling/test_task_executor.py
@@ -128,6 +128,14 @@
         self.deliver_listing(self.started[1].run, ended=ends)
         self.assertEqual(self.started_tasks()[2:], ["task-4"])
 
+    def test_recent_ends_are_counted_at_each_tick(self) -> None:
+        """Reports to all entries use the counts of the last tick."""
+        self.assign(make_assignment(1))
+        self.confirm(*self.started)
+        self.deliver_listing(ended=(EndedTask(1, self.started[0].run, EndKind.FAILED),))
+        self.executor.tick()
+        self.assertEqual(self.executor.recent_ends, (1, 1))
+
     def test_an_assignment_that_may_not_wait_is_returned_at_once(self) -> None:
         """In bursts several entries assign the same free capacity."""
         self.assign(
