Refuse a job whose assignments all came back unstarted like one that never began

Cause: a job counted as begun from its first assignment. If agents returned all of them without room, which happens more often since they return them at once, the job could not be refused any more, ranked before others, and was held to its deadline although nothing had run. A job has now begun while an assignment is open, or once a run of it may have ended (done, failed, lost, or at an agent that fell silent).

--- a/src/jackdawkeel/scheduling/job.py
+++ b/src/jackdawkeel/scheduling/job.py
@@ -98,7 +98,7 @@
         tasks: All tasks, by step.
         waiters: One future for each request that waits for the answer.
         open_assignments: Its assignments whose tasks may be running, by number.
-        has_begun: Whether any of its tasks may have run.
+        has_run: Whether a run of any of its tasks may have ended.
         error: Why it ended without a result, or None.
         result: Its result, or None.
     """
@@ -109,10 +109,18 @@
     tasks: list[list[Task]]
     waiters: list[asyncio.Future[None]] = field(default_factory=list)
     open_assignments: dict[int, OpenAssignment] = field(default_factory=dict)
-    has_begun: bool = False
+    has_run: bool = False
     error: DispatchError | None = None
     result: JobResult | None = None
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether any of its tasks may have run.
+
+        An assignment that an agent has returned unstarted can never run.
+        """
+        return self.has_run or bool(self.open_assignments)
+
     @property
     def has_ended(self) -> bool:
         """Whether the answer to its callers is known."""
--- a/src/jackdawkeel/scheduling/job_scheduler.py
+++ b/src/jackdawkeel/scheduling/job_scheduler.py
@@ -322,7 +322,6 @@
             self.assignments.add(assignment)
             view.unreported[assignment.number] = spec.demand
             assignments.append(assignment)
-        job.has_begun = True
         self._send_start(view, assignments)
         self.log.record(
             EventName.TASK_DISPATCHED,
@@ -389,10 +388,11 @@
             return
         self._close_assignment(assignment)
         job = assignment.job
+        status = TaskStatus(update.status)
+        job.has_run |= status is not TaskStatus.NOT_STARTED
         if job.has_ended:
             self._unblock_successor(job)
             return
-        status = TaskStatus(update.status)
         if status in (TaskStatus.FAILED, TaskStatus.LOST):
             assignment.task.avoided |= {agent}
         assignment.task.lost_runs += status is TaskStatus.LOST
@@ -462,6 +462,7 @@
         self.log.record(EventName.AGENT_SILENT, agent=incarnation, lost=len(lost))
         for assignment in lost:
             self._close_assignment(assignment)
+            assignment.job.has_run = True
             if assignment.job.has_ended:
                 self._unblock_successor(assignment.job)
             else:
