--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -221,11 +221,10 @@
 
     def is_fully_connected(self) -> bool:
         """Whether every agent reports to every entry itself, which issues job ids."""
-        agents = {
-            read_events(agent.process.log)[-1]["task_uuid"]
-            for agent in self.agents
-            if agent.process.is_running
-        }
+        logs = [agent.process.log for agent in self.agents if agent.process.is_running]
+        agents = find_incarnations(logs)
+        if agents is None:
+            return False
         for entry in self.entries:
             if not agents <= find_reporting_agents(entry.process.log):
                 return False
@@ -305,6 +304,12 @@
             print(process.log_tail(), file=sys.stderr)
 
 
+def find_incarnations(logs: list[Path]) -> set[str] | None:
+    """Returns the newest incarnation in each log, or None if a log is still empty."""
+    events = [read_events(log) for log in logs]
+    return {log[-1]["task_uuid"] for log in events} if all(events) else None
+
+
 def find_reporting_agents(log: Path) -> set[str]:
     """Returns the incarnations that have reported to the present process of an entry.
 
--- a/tests/standins/test_processes.py
+++ b/tests/standins/test_processes.py
@@ -14,6 +14,8 @@
 from pathlib import Path
 
 from tests.standins.fleet import Fleet
+from tests.standins.fleet import find_incarnations
+from tests.standins.fleet import find_reporting_agents
 from tests.standins.processes import REPOSITORY
 from tests.standins.processes import ManagedProcess
 from tests.standins.processes import loopback_host
@@ -58,3 +60,29 @@
                 self.assertRaisesRegex(AssertionError, "target-1 ended with an error"),
             ):
                 fleet.wait_until(lambda: False, "a target")
+
+
+class FleetLogTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
+
+    def write(self, name: str, *lines: str) -> Path:
+        """Writes a log; the last line may be incomplete."""
+        path = self.folder / name
+        path.write_text("".join(lines))
+        return path
+
+    def test_a_process_that_has_logged_nothing_yet_has_no_incarnation(self) -> None:
+        started = self.write("a", '{"task_uuid":"1"}\n', '{"task_uuid":"2"}\n', '{"ta')
+        empty = self.write("b")
+        self.assertEqual({"2"}, find_incarnations([started]))
+        self.assertIsNone(find_incarnations([started, empty]))
+
+    def test_agents_of_an_earlier_process_of_an_entry_do_not_count(self) -> None:
+        log = self.write(
+            "entry",
+            '{"message_type":"agent_heard","agent":"1"}\n',
+            '{"message_type":"process_started"}\n',
+            '{"message_type":"agent_heard","agent":"2"}\n',
+        )
+        self.assertEqual({"2"}, find_reporting_agents(log))
