--- a/src/jackdawkeel/scheduling/job_scheduler.py
+++ b/src/jackdawkeel/scheduling/job_scheduler.py
@@ -7,26 +7,19 @@
 from ..errors import DispatchError
 from ..errors import ErrorKind
 from ..events import EventName
-from ..messages.scheduling import JobAssignments
-from ..messages.scheduling import StartTasks
-from ..messages.scheduling import StopTasks
-from ..messages.scheduling import TaskAssignment
 from ..messages.scheduling import TaskStatus
-from ..policy.packing import RunTimeLimit
-from ..policy.packing import place_tasks
 from ..policy.waiting import JobTiming
 from ..policy.waiting import choose_retry_delay_s
 from ..policy.waiting import rank_job
 from ..policy.waiting import would_end_too_late
+from .assignment_sender import AssignmentSender
 from .job import Job
 from .job import JobResult
-from .job import OpenAssignment
 from .job import TaskPhase
 from .job import longest_chain_s
 from .job import make_tasks
 from .job_admission import JobQueue
 from .job_admission import find_refusal
-from .open_assignments import OpenAssignments
 from .run_times import RunTimes
 
 
@@ -50,17 +43,8 @@
     from .specification import Queue
 
 
-# An agent without room returns an assignment at once: another target is likely to have
-# room sooner, and the entry knows which of its waiting jobs goes first.
-ASSIGNMENT_WAIT_MS = 0
-# An older assignment that its agent does not list is considered undelivered.
-ASSIGNMENT_RESEND_AGE_S = 0.35
-# Time after which a stop is resent if its assignment is still open.
-STOP_RESEND_INTERVAL_S = 0.3
 # Number of ended jobs whose answer is kept for repeated requests.
 MAX_ENDED_JOBS = 2000
-# Lost runs of one task after which agents no longer end it for lack of progress.
-MAX_LOST_RUNS = 2
 # Agents of earlier versions also send the status of a run that has started.
 END_STATUSES = frozenset(status.value for status in TaskStatus)
 MS_PER_S = 1000
@@ -71,6 +55,7 @@
 
     Attributes:
         queue: Jobs with tasks that wait for capacity.
+        assignments: Sends assignments to agents and records the open ones.
     """
 
     def __init__(
@@ -104,19 +89,22 @@
         self.clock = clock
         self.log = log
         self.views = views
-        self.send = send
         self.format_task_name = format_task_name
         self.evacuated_zones = evacuated_zones
         self.schedule_soon = schedule_soon
         self.rng = rng
-        self.remote_slowdown = remote_slowdown
         self.jobs: dict[str, Job] = {}
         self.ended_jobs: dict[str, Job] = {}
         self.queue = JobQueue()
-        self.assignments = OpenAssignments()
-        self.next_number = 1
-        self.next_stop_at: dict[int, float] = {}
         self.run_times = RunTimes()
+        self.assignments = AssignmentSender(
+            clock=clock,
+            log=log,
+            views=views,
+            run_times=self.run_times,
+            send=send,
+            remote_slowdown=remote_slowdown,
+        )
 
     # Requests of callers.
 
@@ -183,7 +171,7 @@
             job,
             self.views.target_capacities(service, self.evacuated_zones()),
             self.queue,
-            self.assignments.claimed[service],
+            self.assignments.open.claimed[service],
             self.clock(),
             self.rng,
         )
@@ -195,7 +183,7 @@
                 kind=refusal.kind.value,
                 reason=refusal.message,
                 waiting_jobs=len(self.queue.jobs),
-                open_orders=len(self.assignments),
+                open_orders=len(self.assignments.open),
             )
         return refusal
 
@@ -253,114 +241,15 @@
             if targets is None:
                 targets = self.views.target_capacities(service, evacuated)
                 targets_by_service[service] = targets
-            self._assign_tasks(job, targets)
+            if not self._is_blocked(job):
+                self.assignments.assign_ready_tasks(job, targets)
         self.queue.measure_shortage(now)
 
-    def _assign_tasks(self, job: Job, targets: list[TargetCapacity]) -> None:
-        if self._is_blocked(job):
-            return
-        for index in range(len(job.spec.steps)):
-            groups: dict[frozenset[str], list[Task]] = {}
-            for task in job.ready_tasks(index):
-                groups.setdefault(task.avoided, []).append(task)
-            for avoided, tasks in groups.items():
-                self._assign_group(job, index, tasks, avoided, targets)
-
-    def _assign_group(
-        self,
-        job: Job,
-        index: int,
-        ready: list[Task],
-        avoided: frozenset[str],
-        targets: list[TargetCapacity],
-    ) -> None:
-        self._count_placed(job, index, targets)
-        for target in targets:
-            target.is_avoided = target.name in avoided
-        limit = RunTimeLimit(
-            job.timing.max_slowdown(self.clock()), self.remote_slowdown
-        )
-        placement = place_tasks(job.spec.steps[index], len(ready), targets, limit)
-        by_agent: dict[str, list[Task]] = {}
-        for task, name in zip(ready, placement.names, strict=False):
-            by_agent.setdefault(name, []).append(task)
-        for name, tasks in by_agent.items():
-            self._send_assignments(job, index, name, tasks)
-
-    def _count_placed(
-        self, job: Job, index: int, targets: list[TargetCapacity]
-    ) -> None:
-        placed: dict[str, int] = {}
-        for assignment in job.open_assignments.values():
-            if assignment.task.step == index:
-                placed[assignment.agent] = placed.get(assignment.agent, 0) + 1
-        for target in targets:
-            target.placed = placed.get(target.name, 0)
-
     def _is_blocked(self, job: Job) -> bool:
         """Returns whether an ended job with the same id may still run tasks."""
         previous = self.ended_jobs.get(job.spec.job_id)
         return previous is not None and bool(previous.open_assignments)
 
-    def _send_assignments(
-        self, job: Job, step: int, agent: str, tasks: list[Task]
-    ) -> None:
-        view = self.views.views[agent]
-        spec = job.spec.steps[step]
-        now = self.clock()
-        expected_s = self.run_times.scale_estimate(
-            job.queue.name, spec.estimate_ms / MS_PER_S
-        )
-        assignments = []
-        for task in tasks:
-            task.phase = TaskPhase.ASSIGNED
-            task.attempts += 1
-            assignment = OpenAssignment(
-                self.next_number, job, task, agent, spec.demand, now, expected_s
-            )
-            self.next_number += 1
-            self.assignments.add(assignment)
-            view.unreported[assignment.number] = spec.demand
-            assignments.append(assignment)
-        self._send_start(view, assignments)
-        self.log.record(
-            EventName.TASK_DISPATCHED,
-            job=job.spec.job_id,
-            agent=agent,
-            node=view.report.target.node,
-            orders=[assignment.number for assignment in assignments],
-            attempts=max(task.attempts for task in tasks),
-            view_age_ms=round(MS_PER_S * (now - view.last_seen_at), 1),
-            free_cpu_millis=view.free_capacity().cpu_millis,
-            waited_ms=round(MS_PER_S * (now - job.timing.arrived_at), 1),
-        )
-
-    def _send_start(self, view: AgentView, assignments: list[OpenAssignment]) -> None:
-        job = assignments[0].job
-        step = job.spec.steps[assignments[0].task.step]
-        expected_ms = round(
-            self.run_times.scale_estimate(job.queue.name, step.estimate_ms)
-        )
-        message = JobAssignments(
-            job_id=job.spec.job_id,
-            queue=job.queue.name,
-            priority=job.queue.priority,
-            payload=job.spec.payload,
-            assignments=[
-                TaskAssignment(
-                    number=assignment.number,
-                    task=assignment.task.name,
-                    attempt=assignment.task.attempts,
-                    demand=assignment.demand,
-                    start_within_ms=ASSIGNMENT_WAIT_MS,
-                    expected_ms=expected_ms,
-                    may_move=assignment.task.lost_runs < MAX_LOST_RUNS,
-                )
-                for assignment in assignments
-            ],
-        )
-        self.send(view.address, StartTasks(view.report.sent_at, [message]))
-
     # Reports of agents.
 
     def handle_report(self, sender: PeerAddress, report: AgentReport) -> AgentView:
@@ -373,20 +262,22 @@
                 view.updates_through = update.sequence
                 self._apply_update(update, sender.incarnation)
         if report.is_full:
-            self._resend_missing_assignments(view, report)
-        if report.is_last and not self.assignments.list_of_agent(sender.incarnation):
+            self.assignments.resend_missing(view, report)
+        if report.is_last and not self.assignments.open.list_of_agent(
+            sender.incarnation
+        ):
             self.views.remove(sender.incarnation)
         if self.queue.jobs:
             self.schedule_soon()
         return view
 
     def _apply_update(self, update: TaskUpdate, agent: str) -> None:
-        assignment = self.assignments.by_number.get(update.number)
+        assignment = self.assignments.open.by_number.get(update.number)
         if assignment is None or assignment.agent != agent:
             return
         if update.status not in END_STATUSES:
             return
-        self._close_assignment(assignment)
+        self.assignments.close(assignment)
         job = assignment.job
         status = TaskStatus(update.status)
         job.has_run |= status is not TaskStatus.NOT_STARTED
@@ -427,41 +318,19 @@
                 self.queue.jobs.append(job)
             self.schedule_soon()
 
-    def _close_assignment(self, assignment: OpenAssignment) -> None:
-        self.assignments.close(assignment)
-        self.next_stop_at.pop(assignment.number, None)
-        view = self.views.views.get(assignment.agent)
-        if view is not None:
-            view.unreported.pop(assignment.number, None)
-
     def _unblock_successor(self, job: Job) -> None:
         if not job.open_assignments and job.spec.job_id in self.jobs:
             self.schedule_soon()
 
-    def _resend_missing_assignments(self, view: AgentView, report: AgentReport) -> None:
-        listed = set(report.open_assignments)
-        oldest = self.clock() - ASSIGNMENT_RESEND_AGE_S
-        lost = [
-            assignment
-            for assignment in self.assignments.list_of_agent(view.address.incarnation)
-            if assignment.number not in listed and assignment.sent_at < oldest
-        ]
-        for assignment in lost:
-            if assignment.is_cancelled:
-                continue
-            # Sending it again is safe: an agent ignores assignments that it has seen.
-            assignment.sent_at = self.clock()
-            self._send_start(view, [assignment])
-
     def handle_lost_agent(self, incarnation: str) -> None:
         """Closes all assignments of an agent that can't run them any more.
 
         Tasks of jobs that have not ended become ready again.
         """
-        lost = self.assignments.list_of_agent(incarnation)
+        lost = self.assignments.open.list_of_agent(incarnation)
         self.log.record(EventName.AGENT_SILENT, agent=incarnation, lost=len(lost))
         for assignment in lost:
-            self._close_assignment(assignment)
+            self.assignments.close(assignment)
             assignment.job.has_run = True
             if assignment.job.has_ended:
                 self._unblock_successor(assignment.job)
@@ -481,7 +350,7 @@
         self.jobs.pop(job.spec.job_id, None)
         self.ended_jobs[job.spec.job_id] = job
         self._drop_old_jobs()
-        self._stop_assignments(list(job.open_assignments.values()))
+        self.assignments.stop(list(job.open_assignments.values()))
         for waiter in job.waiters:
             if not waiter.done():
                 waiter.set_result(None)
@@ -504,18 +373,6 @@
                 return
             del self.ended_jobs[oldest]
 
-    def _stop_assignments(self, assignments: list[OpenAssignment]) -> None:
-        now = self.clock()
-        by_agent: dict[str, list[int]] = {}
-        for assignment in assignments:
-            assignment.is_cancelled = True
-            self.next_stop_at[assignment.number] = now + STOP_RESEND_INTERVAL_S
-            by_agent.setdefault(assignment.agent, []).append(assignment.number)
-        for agent, numbers in by_agent.items():
-            view = self.views.views.get(agent)
-            if view is not None:
-                self.send(view.address, StopTasks(numbers))
-
     def tick(self) -> None:
         """Handles timeouts and assigns waiting tasks.
 
@@ -529,12 +386,7 @@
             if now >= job.timing.deadline_at:
                 self._end_at_deadline(job)
         self._refuse_late_jobs(now)
-        due = [
-            self.assignments.by_number[number]
-            for number, at in self.next_stop_at.items()
-            if now >= at and number in self.assignments.by_number
-        ]
-        self._stop_assignments(due)
+        self.assignments.resend_stops()
         self.schedule()
 
     def _refuse_late_jobs(self, now: float) -> None:
