--- a/src/jackdawkeel/scheduling/agent_node.py
+++ b/src/jackdawkeel/scheduling/agent_node.py
@@ -125,7 +125,7 @@
             case StopTasks():
                 self.executor.handle_stop(sender, message.numbers)
             case OwnerBeat():
-                owner = self.executor.renew_owner(sender, message.echo)
+                owner = self.executor.leases.renew(sender, message.echo)
                 owner.acknowledge_through(message.updates_through)
                 self.executor.median_slowness = message.median_slowness
                 self.reports.add_entries(message.entries)
--- a/src/jackdawkeel/scheduling/agent_reports.py
+++ b/src/jackdawkeel/scheduling/agent_reports.py
@@ -205,7 +205,7 @@
                 contact.chosen_at = None
 
     def _has_open_work(self, contact: EntryContact) -> bool:
-        owner = self.executor.owners.get(contact.address.incarnation)
+        owner = self.executor.leases.owners.get(contact.address.incarnation)
         return owner is not None and bool(owner.runs or owner.updates)
 
     def _report_if_due(
@@ -245,7 +245,7 @@
 
     def _send(self, contact: EntryContact, *, is_full: bool) -> None:
         now = self.clock()
-        owner = self.executor.owners.get(contact.address.incarnation)
+        owner = self.executor.leases.owners.get(contact.address.incarnation)
         free = self.executor.free_capacity()
         contact.sent_at = now
         contact.reported_free = free
--- a/src/jackdawkeel/scheduling/task_executor.py
+++ b/src/jackdawkeel/scheduling/task_executor.py
@@ -19,9 +19,8 @@
 from ..policy.progress import project_run_s
 from ..policy.progress import project_slowness
 from .attempts import AttemptNumbers
-from .leases import OWNER_LEASE_S
 from .leases import TARGET_LEASE_S
-from .owners import Owner
+from .owner_leases import OwnerLeases
 from .resources import Resources
 from .target_quality import TargetQuality
 from .target_runtime import EndKind
@@ -41,6 +40,7 @@
     from ..messages import PeerAddress
     from ..messages.scheduling import JobAssignments
     from ..messages.scheduling import StartTasks
+    from .owners import Owner
     from .target_runtime import EndedTask
     from .target_runtime import Listing
     from .target_state import TargetState
@@ -56,8 +56,6 @@
 UNHEALTHY_PAUSE_S = 0.3
 # Time after which an unanswered stop is sent again.
 STOP_RESEND_INTERVAL_S = 0.1
-# Owners that are silent for this time and have no open assignments are removed.
-OWNER_EXPIRY_S = 30.0
 MS_PER_S = 1000
 
 END_STATUS = {
@@ -80,6 +78,7 @@
     """Tracks all assignments of an agent and starts and stops their runs.
 
     Attributes:
+        leases: The entries that own the assignments.
         median_slowness: Median of the slowness of all targets, as an entry reports it.
         slowness: Observed divided by expected run time on the target, as of the last
             tick.
@@ -115,7 +114,7 @@
         self.start = start
         self.stop = stop
         self.on_update = on_update
-        self.owners: dict[str, Owner] = {}
+        self.leases = OwnerLeases(clock, log, self.end_run)
         self.by_run: dict[Run, TaskRun] = {}
         self.by_task: dict[str, TaskRun] = {}
         self.waiting: list[TaskRun] = []
@@ -130,41 +129,6 @@
         self.next_stop_at: dict[Run, float] = {}
         self.counts: Counter[str] = Counter()
 
-    # Owners.
-
-    def renew_owner(self, address: PeerAddress, echo: float) -> Owner:
-        """Renews the lease of an owner, counted from the report that it echoes.
-
-        Args:
-            address: Address of the owner.
-            echo: When that report was sent, in seconds of the agent's clock.
-        """
-        owner = self._find_owner(address)
-        owner.last_seen_at = self.clock()
-        owner.lease_until = max(owner.lease_until, echo + OWNER_LEASE_S)
-        if owner.is_expired and owner.lease_until > owner.last_seen_at:
-            owner.is_expired = False
-            self.log.record(EventName.OWNER_HEARD, entry=address.incarnation)
-        return owner
-
-    def _find_owner(self, address: PeerAddress) -> Owner:
-        owner = self.owners.get(address.incarnation)
-        if owner is not None:
-            return owner
-        self._expire_predecessors(address)
-        owner = Owner(address, lease_until=0.0, last_seen_at=self.clock())
-        self.owners[address.incarnation] = owner
-        self.log.record(
-            EventName.OWNER_HEARD, entry=address.incarnation, link=address.link
-        )
-        return owner
-
-    def _expire_predecessors(self, address: PeerAddress) -> None:
-        for owner in self.owners.values():
-            if owner.address.link == address.link:
-                owner.lease_until = 0.0
-                self._expire_owner(owner)
-
     def free_capacity(self) -> Resources:
         """Returns the capacity less all claims, also those of waiting assignments.
 
@@ -179,14 +143,14 @@
 
     def handle_start(self, sender: PeerAddress, message: StartTasks) -> None:
         """Accepts or refuses the assignments of an entry."""
-        owner = self.renew_owner(sender, message.echo)
+        owner = self.leases.renew(sender, message.echo)
         for job in message.jobs:
             self._accept_job_assignments(owner, job)
         self.start_waiting()
 
     def handle_stop(self, sender: PeerAddress, numbers: Iterable[int]) -> None:
         """Ends assignments; one that has not arrived yet will not start."""
-        owner = self._find_owner(sender)
+        owner = self.leases.find(sender)
         for number in numbers:
             run = owner.runs.get(number)
             if run is not None:
@@ -429,11 +393,7 @@
         self.slowness = self.measure_slowness()
         self.recent_ends = self.quality.count()
         slowness = self.slowness / self.median_slowness
-        for owner in list(self.owners.values()):
-            if now >= owner.lease_until and not owner.is_expired:
-                self._expire_owner(owner)
-            if now >= owner.last_seen_at + OWNER_EXPIRY_S and not owner.runs:
-                del self.owners[owner.address.incarnation]
+        self.leases.expire_due()
         for run in list(self.by_run.values()):
             due = self.next_stop_at.get(run.run, now)
             if run.phase is RunPhase.STOPPING and now >= due:
@@ -486,18 +446,6 @@
         )
         self.end_run(run)
 
-    def _expire_owner(self, owner: Owner) -> None:
-        if not owner.is_expired:
-            owner.is_expired = True
-            self.log.record(
-                EventName.OWNER_SILENT,
-                entry=owner.address.incarnation,
-                silent_s=round(self.clock() - owner.last_seen_at, 3),
-                orders=len(owner.runs),
-            )
-        for run in list(owner.runs.values()):
-            self.end_run(run)
-
     def _finish(self, run: TaskRun, status: TaskStatus) -> None:
         if run.phase is RunPhase.ENDED:
             return
--- a/tests/scheduling/test_agent_reports.py
+++ b/tests/scheduling/test_agent_reports.py
@@ -204,7 +204,7 @@
         self.reports.tick()
         chosen = self.pop_reports()
         owner_address = next(entry for entry in entries if entry not in chosen)
-        owner = self.executor.renew_owner(owner_address, self.clock())
+        owner = self.executor.leases.renew(owner_address, self.clock())
         owner.add_update(1, TaskStatus.DONE, 1, 5.0)
         self.reports.report_changes([owner])
         report = self.pop_reports()[owner_address]
--- a/tests/scheduling/test_task_executor.py
+++ b/tests/scheduling/test_task_executor.py
@@ -101,7 +101,7 @@
         self.executor.handle_listing(listing, self.clock())
 
     def statuses(self, entry: PeerAddress = ENTRY) -> list[tuple[int, str]]:
-        updates = self.executor.owners[entry.incarnation].updates
+        updates = self.executor.leases.owners[entry.incarnation].updates
         return [(update.number, update.status) for update in updates]
 
     def started_tasks(self) -> list[str]:
@@ -248,7 +248,7 @@
         self.assign(make_assignment(1))
         self.confirm(*self.started)
         self.clock.advance(OWNER_LEASE_S - 0.1)
-        self.executor.renew_owner(ENTRY, self.clock() - 0.1)
+        self.executor.leases.renew(ENTRY, self.clock() - 0.1)
         self.clock.advance(0.2)
         self.executor.tick()
         self.assertEqual(self.stopped, [])
@@ -321,7 +321,7 @@
         self.assign(make_assignment(1))
         self.confirm(*self.started)
         successor = make_address("c" * 16)
-        self.executor.renew_owner(successor, self.clock())
+        self.executor.leases.renew(successor, self.clock())
         self.assertEqual(self.stopped, [self.started[0].run])
 
     def test_a_run_without_progress_is_ended_so_that_it_starts_elsewhere(self) -> None:
@@ -332,7 +332,7 @@
         stalled, healthy = (run.run for run in self.started)
         for percent in range(5, 100, 5):
             self.clock.advance(0.05)
-            self.executor.renew_owner(ENTRY, self.clock())
+            self.executor.leases.renew(ENTRY, self.clock())
             running = [RunningTask(stalled, 10.0), RunningTask(healthy, float(percent))]
             self.executor.handle_listing(Listing(1, running, ()), self.clock())
             self.executor.tick()
@@ -346,7 +346,7 @@
         self.deliver_listing(self.started[0].run)
         for _ in range(20):
             self.clock.advance(0.05)
-            self.executor.renew_owner(ENTRY, self.clock())
+            self.executor.leases.renew(ENTRY, self.clock())
             self.executor.tick()
         self.assertEqual(self.stopped, [])
 
@@ -361,7 +361,7 @@
                     run = self.started[-1]
                     self.executor.handle_start_outcome(run, run.attempt, outcome)
                     self.clock.advance(0.05)
-                    self.executor.renew_owner(ENTRY, self.clock())
+                    self.executor.leases.renew(ENTRY, self.clock())
                     self.executor.tick()
                 self.assertEqual(self.executor.claimed, Resources())
 
@@ -378,7 +378,7 @@
                 self.confirm(*self.started)
                 for percent in range(8, 40, 8):
                     self.clock.advance(0.05)
-                    self.executor.renew_owner(ENTRY, self.clock())
+                    self.executor.leases.renew(ENTRY, self.clock())
                     running = [
                         RunningTask(run.run, float(percent)) for run in self.started
                     ]
