--- a/src/jackdawkeel/scheduling/agent_node.py
+++ b/src/jackdawkeel/scheduling/agent_node.py
@@ -127,7 +127,7 @@
             case OwnerBeat():
                 owner = self.executor.leases.renew(sender, message.echo)
                 owner.acknowledge_through(message.updates_through)
-                self.executor.median_slowness = message.median_slowness
+                self.executor.quality.median_slowness = message.median_slowness
                 self.reports.add_entries(message.entries)
                 self.reports.set_change_interval(sender, message.change_interval_s)
                 if message.evacuation_revision:
--- a/src/jackdawkeel/scheduling/agent_reports.py
+++ b/src/jackdawkeel/scheduling/agent_reports.py
@@ -253,7 +253,7 @@
             contact.full_report_at = now
         is_chosen = contact.chosen_at is not None
         contact.is_reported_to = is_chosen or self._has_open_work(contact)
-        ended, failed = self.executor.recent_ends
+        ended, failed = self.executor.quality.recent_ends
         report = AgentReport(
             sent_at=now,
             target=self._describe_target(now, is_chosen),
@@ -262,7 +262,7 @@
             updates=[] if owner is None else owner.collect_updates(is_full),
             is_full=is_full,
             open_assignments=[] if owner is None or not is_full else list(owner.runs),
-            slowness=round(self.executor.slowness, 2),
+            slowness=round(self.executor.quality.slowness, 2),
             recent_ended=ended,
             recent_failed=failed,
             is_last=not contact.is_reported_to,
--- a/src/jackdawkeel/scheduling/task_executor.py
+++ b/src/jackdawkeel/scheduling/task_executor.py
@@ -13,16 +13,11 @@
 
 from ..events import EventName
 from ..messages.scheduling import TaskStatus
-from ..policy.progress import Progress
-from ..policy.progress import has_stalled
-from ..policy.progress import is_too_slow
-from ..policy.progress import project_run_s
-from ..policy.progress import project_slowness
 from .attempts import AttemptNumbers
 from .leases import TARGET_LEASE_S
 from .owner_leases import OwnerLeases
 from .resources import Resources
-from .target_quality import TargetQuality
+from .run_quality import RunQuality
 from .target_runtime import EndKind
 from .target_runtime import Run
 from .target_runtime import StartOutcome
@@ -79,11 +74,7 @@
 
     Attributes:
         leases: The entries that own the assignments.
-        median_slowness: Median of the slowness of all targets, as an entry reports it.
-        slowness: Observed divided by expected run time on the target, as of the last
-            tick.
-        recent_ends: Number of recent runs that ended, and of those that failed or made
-            no progress, as of the last tick.
+        quality: Judges the target and its runs.
     """
 
     def __init__(
@@ -120,12 +111,8 @@
         self.waiting: list[TaskRun] = []
         self.claimed = Resources()
         self.attempts = AttemptNumbers()
-        self.quality = TargetQuality()
+        self.quality = RunQuality()
         self.paused_until = 0.0
-        self.listed_at = 0.0
-        self.median_slowness = 1.0
-        self.slowness = 1.0
-        self.recent_ends = (0, 0)
         self.next_stop_at: dict[Run, float] = {}
         self.counts: Counter[str] = Counter()
 
@@ -322,7 +309,7 @@
             listing: The target's reply.
             requested_at: When the list was requested, in seconds of the clock.
         """
-        self.listed_at = max(self.listed_at, requested_at)
+        self.quality.listed_at = max(self.quality.listed_at, requested_at)
         for end in listing.ended:
             self._handle_end(end)
         listed = {running_task.run for running_task in listing.running}
@@ -389,51 +376,22 @@
         its entry can assign the task to another agent.
         """
         now = self.clock()
-        self.quality.drop_expired(now)
-        self.slowness = self.measure_slowness()
-        self.recent_ends = self.quality.count()
-        slowness = self.slowness / self.median_slowness
+        self.quality.refresh(now, self.by_run.values())
         self.leases.expire_due()
         for run in list(self.by_run.values()):
             due = self.next_stop_at.get(run.run, now)
             if run.phase is RunPhase.STOPPING and now >= due:
                 self._send_stop(run)
             elif run.phase is RunPhase.RUNNING and run.assignment.may_move:
-                self._move_if_slow(run, now, slowness)
+                self._move_if_slow(run, now)
         self.start_waiting()
 
-    def measure_slowness(self) -> float:
-        """Returns observed divided by expected run time of recent and running tasks."""
-        running = [
-            project_slowness(self._measure_progress(run))
-            for run in self.by_run.values()
-            if run.phase is RunPhase.RUNNING
-        ]
-        return self.quality.measure_slowness([ratio for ratio in running if ratio])
-
-    def _measure_progress(self, run: TaskRun) -> Progress:
-        return Progress(
-            age_s=self.listed_at - run.started_at,
-            idle_s=self.listed_at - run.last_progress_at,
-            percent=run.percent,
-            expected_s=run.assignment.expected_ms / MS_PER_S,
-        )
-
-    def _move_if_slow(self, run: TaskRun, now: float, slowness: float) -> None:
-        if not self.target.is_reachable:
-            return
-        progress = self._measure_progress(run)
-        stalled = has_stalled(progress)
-        if not stalled and not is_too_slow(progress, slowness):
+    def _move_if_slow(self, run: TaskRun, now: float) -> None:
+        if not self.target.is_reachable or not self.quality.should_move(run):
             return
         run.is_moved = True
-        projected_ms = MS_PER_S * project_run_s(progress)
-        self.quality.record(
-            now,
-            is_good=not stalled,
-            run_ms=projected_ms,
-            expected_ms=run.assignment.expected_ms,
-        )
+        self.quality.record_moved(run, now)
+        progress = self.quality.measure_progress(run)
         self.log.record(
             EventName.TASK_MOVED,
             job=run.job_id,
@@ -453,7 +411,7 @@
         run_ms = MS_PER_S * (self.clock() - run.started_at) if run.started_at else 0.0
         run.phase = RunPhase.ENDED
         self.next_stop_at.pop(run.run, None)
-        self._record_quality(run, status, run_ms)
+        self.quality.record_end(run, status, run_ms, self.clock())
         self.log.record(
             EventName.TASK_RUN,
             job=run.job_id,
@@ -472,16 +430,6 @@
         run.owner.record_ended(run.assignment.number)
         self._report(run.owner, run.assignment.number, status, run.attempt, run_ms)
 
-    def _record_quality(self, run: TaskRun, status: TaskStatus, run_ms: float) -> None:
-        now = self.clock()
-        if status is TaskStatus.DONE and not run.is_moved:
-            expected_ms = run.assignment.expected_ms
-            self.quality.record(
-                now, is_good=True, run_ms=run_ms, expected_ms=expected_ms
-            )
-        elif status is TaskStatus.FAILED:
-            self.quality.record(now, is_good=False, run_ms=0.0, expected_ms=0.0)
-
     def _release(self, run: TaskRun) -> None:
         if run.claims_capacity:
             self.claimed = self.claimed.minus(run.assignment.demand)
--- a/tests/scheduling/test_task_executor.py
+++ b/tests/scheduling/test_task_executor.py
@@ -134,7 +134,7 @@
         self.confirm(*self.started)
         self.deliver_listing(ended=(EndedTask(1, self.started[0].run, EndKind.FAILED),))
         self.executor.tick()
-        self.assertEqual(self.executor.recent_ends, (1, 1))
+        self.assertEqual(self.executor.quality.recent_ends, (1, 1))
 
     def test_an_assignment_that_may_not_wait_is_returned_at_once(self) -> None:
         """In bursts several entries assign the same free capacity."""
@@ -338,7 +338,7 @@
             self.executor.tick()
         self.assertEqual(self.stopped[0], stalled)
         self.assertNotIn(healthy, self.stopped)
-        self.assertEqual(self.executor.quality.count(), (1, 1))
+        self.assertEqual(self.executor.quality.target.count(), (1, 1))
 
     def test_a_run_is_not_moved_while_the_target_is_not_listed(self) -> None:
         self.assign(make_assignment(1))
@@ -369,9 +369,9 @@
         for median, moved in ((1.0, 2), (6.0, 0)):
             with self.subTest(median):
                 self.setUp()
-                self.executor.median_slowness = median
+                self.executor.quality.median_slowness = median
                 for _ in range(3):
-                    self.executor.quality.record(
+                    self.executor.quality.target.record(
                         self.clock(), is_good=True, run_ms=600, expected_ms=100
                     )
                 self.assign(make_assignment(1), make_assignment(2))
