--- a/bench/shared_room/simulator.py
+++ b/bench/shared_room/simulator.py
@@ -19,13 +19,13 @@
 from jackdawkeel.policy.packing import TargetCapacity
 from jackdawkeel.policy.packing import count_fitting_tasks
 from jackdawkeel.policy.packing import place_tasks
+from jackdawkeel.policy.reporting import MIN_CHANGE_INTERVAL_S
+from jackdawkeel.policy.reporting import choose_change_interval_s
+from jackdawkeel.policy.reporting import request_change_interval_s
 from jackdawkeel.policy.waiting import predict_wait_s
 from jackdawkeel.policy.waiting import rank_job
 from jackdawkeel.policy.waiting import would_end_too_late
 from jackdawkeel.policy.waiting import would_wait_too_long
-from jackdawkeel.scheduling.agent_reports import MIN_CHANGE_INTERVAL_S
-from jackdawkeel.scheduling.agent_reports import choose_change_interval_s
-from jackdawkeel.scheduling.agent_views import MAX_CHANGES_PER_S
 from jackdawkeel.scheduling.leases import REPORT_INTERVAL_S
 from jackdawkeel.scheduling.schedule_trigger import CONTENTION_PAUSE_S
 
@@ -306,7 +306,9 @@
         for entry in agent.entries:
             age_s = self.now - agent.last_report_at.get(entry.name, -1.0)
             is_changed = agent.reported_free.get(entry.name) != agent.free
-            interval_s = choose_change_interval_s(len(entry.views) / MAX_CHANGES_PER_S)
+            interval_s = choose_change_interval_s(
+                request_change_interval_s(len(entry.views)), REPORT_INTERVAL_S
+            )
             full_age_s = self.now - agent.full_report_at.get(entry.name, -1.0)
             if full_age_s >= REPORT_INTERVAL_S:
                 agent.full_report_at[entry.name] = self.now
--- a/src/jackdawkeel/scheduling/agent_reports.py
+++ b/src/jackdawkeel/scheduling/agent_reports.py
@@ -11,6 +11,7 @@
 from ..policy.neighbourhood import count_entries
 from ..policy.neighbourhood import update_idle_since
 from ..policy.neighbourhood import weigh_entry
+from ..policy.reporting import choose_change_interval_s
 from .leases import LINK_SILENCE_TIMEOUT_S
 from .leases import REPORT_INTERVAL_S
 
@@ -29,10 +30,6 @@
     from .task_executor import TaskExecutor
 
 
-# Minimum time between reports to an entry whose assignments have not changed.
-MIN_CHANGE_INTERVAL_S = 0.05
-# Longest requested interval at which changes are reported between two full reports.
-MAX_CHANGE_INTERVAL_S = 0.125
 # Time between reports to an entry from which no message arrives.
 SILENT_ENTRY_INTERVAL_S = 0.5
 # Time between reconnects to a silent entry, as a fraction of its silence so far.
@@ -85,18 +82,6 @@
         return is_chosen and self.measure_silence_s(now) > REPLACEMENT_SILENCE_S
 
 
-def choose_change_interval_s(requested_s: float) -> float:
-    """Returns the time between reports of changed free capacity, in seconds.
-
-    Args:
-        requested_s: Minimum time that the entry requests. If it is close to the time
-            between full reports, changes wait for those.
-    """
-    if requested_s > MAX_CHANGE_INTERVAL_S:
-        return REPORT_INTERVAL_S
-    return min(max(MIN_CHANGE_INTERVAL_S, requested_s), REPORT_INTERVAL_S / 2)
-
-
 class AgentReports:
     """Decides which report is sent to which entry and when.
 
@@ -219,7 +204,9 @@
             self._send(contact, is_full=True)
             return
         is_changed = free != contact.reported_free
-        interval_s = choose_change_interval_s(contact.change_interval_s)
+        interval_s = choose_change_interval_s(
+            contact.change_interval_s, REPORT_INTERVAL_S
+        )
         if is_responsive and is_changed and now >= contact.sent_at + interval_s:
             self._send(contact, is_full=False)
 
--- a/src/jackdawkeel/scheduling/agent_views.py
+++ b/src/jackdawkeel/scheduling/agent_views.py
@@ -9,6 +9,7 @@
 
 from ..events import EventName
 from ..policy.packing import TargetCapacity
+from ..policy.reporting import request_change_interval_s
 from ..policy.suspects import TargetStats
 from ..policy.suspects import find_suspects
 from .leases import LINK_SILENCE_TIMEOUT_S
@@ -28,9 +29,6 @@
 
 # Agents with an older report get no assignments; two reports may be lost.
 USABLE_AGE_S = 0.5
-# Reports of changed free capacity that an entry requests per second, in addition to
-# the full reports; as many as the full reports of 48 agents.
-MAX_CHANGES_PER_S = 240
 
 
 @dataclass(slots=True, eq=False)
@@ -188,12 +186,8 @@
                 yield view
 
     def change_interval_s(self) -> float:
-        """Returns the minimum time between reports of changed capacity, in seconds.
-
-        In a large fleet the free capacity of some agent changes all the time, and each
-        agent reports each change to each entry. The interval bounds that load.
-        """
-        return len(self.views) / MAX_CHANGES_PER_S
+        """Returns the minimum time between reports of changed capacity, in seconds."""
+        return request_change_interval_s(len(self.views))
 
     def median_slowness(self) -> float:
         """Returns the median of the slowness that agents report, at least 1."""
--- a/tests/scheduling/test_agent_reports.py
+++ b/tests/scheduling/test_agent_reports.py
@@ -7,10 +7,10 @@
 from jackdawkeel.messages import PeerAddress
 from jackdawkeel.messages.scheduling import AgentReport
 from jackdawkeel.messages.scheduling import TaskStatus
+from jackdawkeel.policy.reporting import request_change_interval_s
 from jackdawkeel.scheduling.agent_reports import ENTRY_EXPIRY_S
 from jackdawkeel.scheduling.agent_reports import REPLACEMENT_SILENCE_S
 from jackdawkeel.scheduling.agent_reports import AgentReports
-from jackdawkeel.scheduling.agent_views import MAX_CHANGES_PER_S
 from jackdawkeel.scheduling.leases import LINK_SILENCE_TIMEOUT_S
 from jackdawkeel.scheduling.leases import REPORT_INTERVAL_S
 from jackdawkeel.scheduling.process_settings import ProcessSettings
@@ -124,12 +124,12 @@
         self.assertLess(self.count_changes(0.15), 6)
 
     def test_changes_wait_for_full_reports_to_an_entry_with_many_agents(self) -> None:
-        self.assertEqual(self.count_changes(37 / MAX_CHANGES_PER_S), 0)
+        self.assertEqual(self.count_changes(request_change_interval_s(37)), 0)
 
     def test_changes_are_reported_at_each_tick_to_an_entry_with_few_agents(
         self,
     ) -> None:
-        self.assertGreater(self.count_changes(11 / MAX_CHANGES_PER_S), 10)
+        self.assertGreater(self.count_changes(request_change_interval_s(11)), 10)
 
     def test_no_report_is_sent_before_the_target_is_prepared(self) -> None:
         """A report tells entries that the target runs nothing of an earlier process."""
