--- a/src/jackdawkeel/policy/packing.py
+++ b/src/jackdawkeel/policy/packing.py
@@ -42,7 +42,10 @@
         free: Resources that are not in use.
         capacity: Total resources.
         is_local: Whether it is in the availability zone of the choosing entry.
-        slowness: Ratio of observed to expected run time of its tasks.
+        slowness: Ratio of observed to expected run time of its tasks; above 1 if the
+            target is disturbed.
+        run_time_factor: Run time of a task on targets of this kind, divided by that
+            on the average target of the service.
         is_avoided: Whether a task of the group failed or was lost there.
         placed: Number of tasks of the step assigned to it.
     """
@@ -53,6 +56,7 @@
     capacity: Resources
     is_local: bool
     slowness: float = 1.0
+    run_time_factor: float = 1.0
     is_avoided: bool = False
     placed: int = 0
 
