--- a/src/jackdawkeel/link/node.py
+++ b/src/jackdawkeel/link/node.py
@@ -1,7 +1,7 @@
 """The link node of a process: sends and receives typed messages.
 
-Every process listens on one Pull socket and dials one Push socket per peer. NNG does
-not resend messages on these sockets, so a message arrives at most once.
+Every process listens on one socket and dials one connection per peer and session. No
+transport resends a message, so a message arrives at most once.
 """
 
 from __future__ import annotations
@@ -15,16 +15,17 @@
 from typing import Self
 
 import msgspec
-import pynng
 
-from ..errors import StartError
+from ..backoff import add_jitter
 from ..events import EventName
 from ..messages import PROTOCOL_VERSION
 from ..messages import Envelope
 from ..messages import Message
 from ..messages import PeerAddress
 from ..messages import WrongRecipient
-from .outbound import OutboundConnection
+from .transport import NNG_TRANSPORT
+from .transport import Connection
+from .transport import Transport
 
 
 if TYPE_CHECKING:
@@ -34,15 +35,18 @@
     from ..logs import EventLog
 
 
-MAX_ENVELOPE_BYTES = 32 * 1024 * 1024
-RECEIVE_BUFFER_ENVELOPES = 256
-MAX_ENVELOPES_PER_WAKEUP = 100
 # Per link; beyond it the oldest batch is dropped.
 MAX_PENDING_BATCHES = 10_000
 SEND_RETRY_DELAY_S = 0.005
 # Batches that encode to more are split, at most down to single messages.
 ENVELOPE_SPLIT_BYTES = 1024 * 1024
 REDIAL_INTERVAL_S = 0.2
+# Pause between two redials of a silent peer. It doubles until a message of the peer
+# arrives: under high load, connections that are replaced too early never come up, and
+# the redials of all processes keep the load high.
+MIN_REDIAL_PAUSE_S = 0.4
+MAX_REDIAL_PAUSE_S = 3.0
+REDIAL_JITTER = 0.25
 IDLE_LINK_TIMEOUT_S = 120.0
 
 
@@ -68,15 +72,22 @@
             connection.
         dialled_at: When the connection was opened, in seconds of the clock.
         last_used_at: When an envelope was last sent, in seconds of the clock.
+        redial_pause_s: Pause after the next redial.
+        next_redial_at: Earliest time of the next redial, in seconds of the clock.
+        is_retry_planned: Whether sending is tried again soon, because the connection
+            accepted no more envelopes.
     """
 
     destination: str
     session: int = 0
-    connection: OutboundConnection | None = None
+    connection: Connection | None = None
     batches: deque[Batch] = field(default_factory=deque)
     request_redial: bool = False
     dialled_at: float = 0.0
     last_used_at: float = 0.0
+    redial_pause_s: float = MIN_REDIAL_PAUSE_S
+    next_redial_at: float = 0.0
+    is_retry_planned: bool = False
 
 
 class LinkNode:
@@ -90,6 +101,7 @@
         clock: Clock,
         log: EventLog,
         deliver: Callable[[PeerAddress, Message], None],
+        transport: Transport = NNG_TRANSPORT,
     ) -> None:
         """Creates the node; entering the context opens the listening socket.
 
@@ -102,12 +114,14 @@
             log: Event log.
             deliver: Called on the event loop with the sender of a message and the
                 message.
+            transport: Sockets of the links; the same at all peers.
         """
         self.listen = listen
         self.address = address
         self.clock = clock
         self.log = log
         self.deliver = deliver
+        self.transport = transport
         self.source_ip = listen.removeprefix("tcp://").rpartition(":")[0]
         self.links: dict[str, OutboundLink] = {}
         self.latest_sessions: dict[str, int] = {}
@@ -123,24 +137,17 @@
 
     def __enter__(self) -> Self:
         self.loop = asyncio.get_running_loop()
-        self.receive_socket = pynng.Pull0(recv_buffer_size=RECEIVE_BUFFER_ENVELOPES)
-        self.receive_socket.recv_max_size = MAX_ENVELOPE_BYTES
-        try:
-            self.receive_socket.listen(self.listen)
-        except pynng.NNGException as error:
-            self.receive_socket.close()
-            raise StartError(f"can't listen on {self.listen}: {error}") from error
-        self.receive_descriptor = self.receive_socket.recv_fd
-        self.loop.add_reader(self.receive_descriptor, self._receive_ready)
+        self.listener = self.transport.listen(
+            self.listen, self.receive, self._record_dropped
+        )
         return self
 
     def __exit__(self, *_: object) -> None:
         self._flush()
-        self.loop.remove_reader(self.receive_descriptor)
         for link in self.links.values():
             if link.connection is not None:
                 link.connection.close()
-        self.receive_socket.close()
+        self.listener.close()
 
     def send(self, recipient: PeerAddress, message: Message) -> None:
         """Sends a message.
@@ -162,11 +169,15 @@
     def redial(self, destination: str) -> None:
         """Replaces the connection and asks the peer to replace its own.
 
-        Does nothing if the connection was opened within ``REDIAL_INTERVAL_S``.
+        Does nothing if the connection was opened within ``REDIAL_INTERVAL_S``, or
+        during the pause after an earlier redial that the peer has not answered.
         """
         link = self._find_link(destination)
-        if self.clock() - link.dialled_at < REDIAL_INTERVAL_S:
+        now = self.clock()
+        if now < max(link.next_redial_at, link.dialled_at + REDIAL_INTERVAL_S):
             return
+        link.next_redial_at = now + add_jitter(link.redial_pause_s, REDIAL_JITTER)
+        link.redial_pause_s = min(2 * link.redial_pause_s, MAX_REDIAL_PAUSE_S)
         self._dial(link)
         link.request_redial = True
         self.log.record(EventName.LINK_REDIALED, peer=destination, session=link.session)
@@ -199,7 +210,7 @@
         def schedule_replacement() -> None:
             self.loop.call_soon_threadsafe(self._replace_lost_connection, link, session)
 
-        link.connection = OutboundConnection(
+        link.connection = self.transport.dial(
             self.source_ip, link.destination, schedule_replacement
         )
 
@@ -233,13 +244,24 @@
                 _split_first_batch(link.batches)
                 continue
             if not link.connection.send(body):
-                self.loop.call_later(SEND_RETRY_DELAY_S, self._send_pending, link)
+                self._plan_retry(link)
                 return
             link.batches.popleft()
             link.request_redial = False
             link.last_used_at = self.clock()
             self.envelopes_sent += 1
 
+    def _plan_retry(self, link: OutboundLink) -> None:
+        if link.is_retry_planned:
+            return
+        link.is_retry_planned = True
+
+        def retry() -> None:
+            link.is_retry_planned = False
+            self._send_pending(link)
+
+        self.loop.call_later(SEND_RETRY_DELAY_S, retry)
+
     def _encode(self, link: OutboundLink, batch: Batch) -> bytes:
         envelope = Envelope(
             version=PROTOCOL_VERSION,
@@ -251,17 +273,6 @@
         )
         return self.encoder.encode(envelope)
 
-    def _receive_ready(self) -> None:
-        for _ in range(MAX_ENVELOPES_PER_WAKEUP):
-            try:
-                body = self.receive_socket.recv(block=False)
-            except pynng.TryAgain:
-                return
-            except RuntimeError:
-                # pynng can't unpack an empty message, but has already received it.
-                body = b""
-            self.receive(body)
-
     def receive(self, body: bytes) -> None:
         """Handles one encoded envelope; a malformed one is dropped."""
         try:
@@ -276,6 +287,7 @@
         self.envelopes_received += 1
         if self._is_stale(envelope):
             return
+        self._reset_redial_pause(envelope.sender.link)
         if envelope.redial:
             self._redial_on_request(envelope.sender.link)
         if envelope.recipient not in ("", self.address.incarnation):
@@ -302,6 +314,12 @@
         self.latest_sessions[sender] = envelope.session
         return False
 
+    def _reset_redial_pause(self, peer: str) -> None:
+        link = self.links.get(peer)
+        if link is not None:
+            link.redial_pause_s = MIN_REDIAL_PAUSE_S
+            link.next_redial_at = 0.0
+
     def _record_dropped(self, reason: str, peer: str, details: str = "") -> None:
         self.dropped[reason] += 1
         self.log.record(
--- a/src/jackdawkeel/link/outbound.py
+++ b/src/jackdawkeel/link/outbound.py
@@ -1,4 +1,4 @@
-"""One outgoing connection to the link address of another process."""
+"""One outgoing NNG connection to the link address of another process."""
 
 from __future__ import annotations
 
@@ -7,17 +7,16 @@
 
 import pynng
 
+from .limits import RECONNECT_MAX_MS
+from .limits import RECONNECT_MIN_MS
+from .limits import SEND_BUFFER_ENVELOPES
+
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
 
-SEND_BUFFER_ENVELOPES = 64
-RECONNECT_MIN_MS = 50
-RECONNECT_MAX_MS = 500
-
-
-class OutboundConnection:
+class NngConnection:
     """A socket that uses at most one connection in its lifetime.
 
     NNG reconnects by itself after a loss. The second connection is rejected, so that
--- /dev/null
+++ b/src/jackdawkeel/link/stream.py
@@ -0,0 +1,290 @@
+"""Links over TCP streams on the event loop.
+
+A frame is the length of an envelope in four bytes, big-endian, and the envelope. Each
+connection carries the envelopes of one session in one direction.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import TYPE_CHECKING
+from typing import Self
+
+from ..errors import StartError
+from .limits import MAX_ENVELOPE_BYTES
+from .limits import RECONNECT_MAX_MS
+from .limits import RECONNECT_MIN_MS
+from .limits import SEND_BUFFER_ENVELOPES
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+LENGTH_BYTES = 4
+READ_BUFFER_BYTES = 64 * 1024
+# Bytes that wait for a slow peer; beyond it the link node keeps the batches itself.
+MAX_WRITE_BUFFER_BYTES = 256 * 1024
+LISTEN_BACKLOG = 1024
+# Pause after an error of accept, such as a lack of descriptors.
+ACCEPT_RETRY_DELAY_S = 0.5
+# A connection whose peer has disappeared is closed after these probes, in 30 s; a
+# redialled link would otherwise leave a descriptor open for each lost connection.
+KEEPALIVE_IDLE_S = 15
+KEEPALIVE_INTERVAL_S = 5
+KEEPALIVE_PROBES = 3
+MS_PER_S = 1000
+
+
+def split_link_address(address: str) -> tuple[str, int]:
+    """Returns the IP and the port of a link address ``tcp://IP:PORT``."""
+    host, _, port = address.removeprefix("tcp://").rpartition(":")
+    return host, int(port)
+
+
+class StreamListener:
+    """Accepts connections and passes on the envelopes that arrive on them.
+
+    Attributes:
+        connections: The open connections.
+        opening: Accepted connections that are being set up.
+        read_buffer: Buffer into which the data of any connection is read.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        receive: Callable[[bytes], None],
+        reject: Callable[[str, str], None],
+    ) -> None:
+        """Listens on a link address.
+
+        Args:
+            address: Link address.
+            receive: Called with each envelope.
+            reject: Called with the reason and the peer if a connection is closed
+                because its data is invalid.
+
+        Raises:
+            StartError: If the address can't be listened on.
+        """
+        self.receive = receive
+        self.reject = reject
+        self.connections: set[asyncio.Transport] = set()
+        self.is_closed = False
+        self.read_buffer = bytearray(READ_BUFFER_BYTES)
+        self.socket = socket.socket()
+        try:
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            self.socket.bind(split_link_address(address))
+            self.socket.listen(LISTEN_BACKLOG)
+        except OSError as error:
+            self.socket.close()
+            raise StartError(f"can't listen on {address}: {error}") from error
+        self.socket.setblocking(False)
+        self.loop = asyncio.get_running_loop()
+        self.opening: set[asyncio.Task[None]] = set()
+        self._resume()
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.close()
+
+    def close(self) -> None:
+        """Stops listening and closes the accepted connections."""
+        if self.is_closed:
+            return
+        self.is_closed = True
+        self.loop.remove_reader(self.socket)
+        self.socket.close()
+        for task in self.opening:
+            task.cancel()
+        for connection in list(self.connections):
+            connection.abort()
+
+    def _resume(self) -> None:
+        if not self.is_closed:
+            self.loop.add_reader(self.socket, self._accept)
+
+    def _accept(self) -> None:
+        try:
+            accepted, _ = self.socket.accept()
+        except (BlockingIOError, ConnectionAbortedError):
+            return
+        except OSError as error:
+            # Without a free descriptor the socket stays readable.
+            self.reject(f"accept failed: {error}", "")
+            self.loop.remove_reader(self.socket)
+            self.loop.call_later(ACCEPT_RETRY_DELAY_S, self._resume)
+            return
+        accepted.setblocking(False)
+        task = self.loop.create_task(self._open(accepted))
+        self.opening.add(task)
+        task.add_done_callback(self.opening.discard)
+
+    async def _open(self, accepted: socket.socket) -> None:
+        try:
+            await self.loop.connect_accepted_socket(
+                lambda: InboundStream(self), accepted
+            )
+        except OSError:
+            accepted.close()
+
+
+class InboundStream(asyncio.BufferedProtocol):
+    """Splits the data of one accepted connection into envelopes.
+
+    Attributes:
+        partial: The beginning of a frame whose end has not arrived.
+    """
+
+    def __init__(self, listener: StreamListener) -> None:
+        self.listener = listener
+        self.partial = bytearray()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Registers the connection."""
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        if self.listener.is_closed:
+            transport.abort()
+            return
+        self.listener.connections.add(transport)
+        enable_keepalive(transport.get_extra_info("socket"))
+
+    def connection_lost(self, _error: Exception | None) -> None:
+        """Discards an incomplete frame with the connection."""
+        self.listener.connections.discard(self.transport)
+
+    def get_buffer(self, _size_hint: int) -> bytearray:
+        """Returns the buffer for the next read."""
+        return self.listener.read_buffer
+
+    def buffer_updated(self, count: int) -> None:
+        """Passes on the envelopes that are complete."""
+        self.partial += memoryview(self.listener.read_buffer)[:count]
+        begin = 0
+        while (end := self._find_end(begin)) is not None:
+            if end - begin - LENGTH_BYTES > MAX_ENVELOPE_BYTES:
+                self._reject(end - begin - LENGTH_BYTES)
+                return
+            if end > len(self.partial):
+                break
+            self.listener.receive(bytes(self.partial[begin + LENGTH_BYTES : end]))
+            begin = end
+        del self.partial[:begin]
+
+    def _find_end(self, begin: int) -> int | None:
+        body = begin + LENGTH_BYTES
+        if len(self.partial) < body:
+            return None
+        return body + int.from_bytes(self.partial[begin:body])
+
+    def _reject(self, length: int) -> None:
+        peer = self.transport.get_extra_info("peername")
+        self.partial.clear()
+        self.transport.abort()
+        self.listener.reject(f"frame of {length} bytes", f"{peer[0]}:{peer[1]}")
+
+
+class StreamConnection(asyncio.Protocol):
+    """An outgoing connection that is established at most once in its lifetime.
+
+    It is not replaced after a loss, so that the envelopes of one session stay in order
+    and none is sent twice.
+
+    Attributes:
+        unsent: Frames that wait until the connection is established.
+    """
+
+    def __init__(
+        self, source_ip: str, destination: str, on_lost: Callable[[], None]
+    ) -> None:
+        """Starts to connect in the background, until it succeeds or is closed.
+
+        Args:
+            source_ip: IP to connect from.
+            destination: Link address.
+            on_lost: Called when the established connection is lost.
+        """
+        self.on_lost = on_lost
+        self.unsent: list[bytes] = []
+        self.transport: asyncio.Transport | None = None
+        self.is_lost = False
+        self.is_closed = False
+        self.connecting = asyncio.get_running_loop().create_task(
+            self._connect(source_ip, *split_link_address(destination))
+        )
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.close()
+
+    async def _connect(self, source_ip: str, host: str, port: int) -> None:
+        loop = asyncio.get_running_loop()
+        pause_ms = RECONNECT_MIN_MS
+        while True:
+            try:
+                await loop.create_connection(
+                    lambda: self, host, port, local_addr=(source_ip, 0)
+                )
+            except OSError:
+                await asyncio.sleep(pause_ms / MS_PER_S)
+                pause_ms = min(2 * pause_ms, RECONNECT_MAX_MS)
+            else:
+                return
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Sends the frames that have been waiting."""
+        assert isinstance(transport, asyncio.Transport)
+        if self.is_closed:
+            transport.abort()
+            return
+        self.transport = transport
+        enable_keepalive(transport.get_extra_info("socket"))
+        if self.unsent:
+            transport.write(b"".join(self.unsent))
+            self.unsent.clear()
+
+    def connection_lost(self, _error: Exception | None) -> None:
+        """Reports the loss."""
+        self.is_lost = True
+        if not self.is_closed:
+            self.on_lost()
+
+    def send(self, body: bytes) -> bool:
+        """Sends one envelope unless that blocks; returns whether it was accepted."""
+        if self.is_lost or self.is_closed:
+            return False
+        frame = len(body).to_bytes(LENGTH_BYTES) + body
+        if self.transport is None:
+            if len(self.unsent) >= SEND_BUFFER_ENVELOPES:
+                return False
+            self.unsent.append(frame)
+            return True
+        if self.transport.get_write_buffer_size() > MAX_WRITE_BUFFER_BYTES:
+            return False
+        self.transport.write(frame)
+        return True
+
+    def close(self) -> None:
+        """Closes the connection; frames that the kernel has not taken are lost."""
+        self.is_closed = True
+        self.connecting.cancel()
+        if self.transport is not None:
+            self.transport.abort()
+
+
+def enable_keepalive(connection: socket.socket) -> None:
+    """Enables keep-alive probes on a connection."""
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    connection.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S
+    )
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
--- /dev/null
+++ b/src/jackdawkeel/link/transport.py
@@ -0,0 +1,60 @@
+"""The transports of links: NNG sockets and plain TCP streams.
+
+The project's own daemons use NNG. The processes on the users' platform use streams on
+the event loop: NNG hands each message from thread to thread, and its context switches
+take most of the processor time of an agent with half a core.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+from .inbound import NngListener
+from .outbound import NngConnection
+from .stream import StreamConnection
+from .stream import StreamListener
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+class Listener(Protocol):
+    """A socket that receives the envelopes of all peers."""
+
+    def close(self) -> None:
+        """Stops listening and closes the accepted connections."""
+
+
+class Connection(Protocol):
+    """An outgoing connection, which carries the envelopes of one session."""
+
+    def send(self, body: bytes) -> bool:
+        """Sends an envelope unless that blocks; returns whether it was accepted."""
+
+    def close(self) -> None:
+        """Closes the connection; envelopes that were not sent yet are lost."""
+
+
+@dataclass(frozen=True, slots=True)
+class Transport:
+    """How a link node receives envelopes and connects to its peers.
+
+    Attributes:
+        listen: Listens on a link address. Each envelope is passed to the second
+            argument; the third one is called with the reason and the peer if a
+            connection is closed because its data is invalid. Raises ``StartError``.
+        dial: Connects from an IP to a link address in the background. The third
+            argument is called when an established connection is lost, on any thread.
+    """
+
+    listen: Callable[
+        [str, Callable[[bytes], None], Callable[[str, str], None]], Listener
+    ]
+    dial: Callable[[str, str, Callable[[], None]], Connection]
+
+
+NNG_TRANSPORT = Transport(NngListener, NngConnection)
+STREAM_TRANSPORT = Transport(StreamListener, StreamConnection)
--- a/src/jackdawkeel/scheduling/agent_node.py
+++ b/src/jackdawkeel/scheduling/agent_node.py
@@ -12,6 +12,7 @@
 from ..http_messages import HttpResponse
 from ..link.message_counts import count_messages
 from ..link.node import LinkNode
+from ..link.transport import STREAM_TRANSPORT
 from ..messages import PeerAddress
 from ..messages import WrongRecipient
 from ..messages.scheduling import OwnerBeat
@@ -94,6 +95,7 @@
             clock=self.clock,
             log=log,
             deliver=self.deliver,
+            transport=STREAM_TRANSPORT,
         )
         self.reports = AgentReports(
             settings=settings,
--- a/tests/link/test_node.py
+++ b/tests/link/test_node.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import socket
 import unittest
+from contextlib import suppress
 from typing import Any
 
 import msgspec
@@ -12,8 +14,16 @@
 
 from jackdawkeel.clock import read_boot_clock
 from jackdawkeel.errors import StartError
+from jackdawkeel.link.limits import MAX_ENVELOPE_BYTES
+from jackdawkeel.link.limits import SEND_BUFFER_ENVELOPES
 from jackdawkeel.link.node import ENVELOPE_SPLIT_BYTES
+from jackdawkeel.link.node import SEND_RETRY_DELAY_S
 from jackdawkeel.link.node import LinkNode
+from jackdawkeel.link.node import OutboundLink
+from jackdawkeel.link.stream import split_link_address
+from jackdawkeel.link.transport import NNG_TRANSPORT
+from jackdawkeel.link.transport import STREAM_TRANSPORT
+from jackdawkeel.link.transport import Transport
 from jackdawkeel.messages import PROTOCOL_VERSION
 from jackdawkeel.messages import Envelope
 from jackdawkeel.messages import JobQuery
@@ -36,7 +46,9 @@
 class ReceivingNode:
     """A link node that collects the messages it delivers and its log lines."""
 
-    def __init__(self, name: str, link: str = "") -> None:
+    def __init__(
+        self, name: str, link: str = "", transport: Transport = NNG_TRANSPORT
+    ) -> None:
         self.messages: list[Message] = []
         self.log_lines: list[bytes] = []
         self.node = LinkNode(
@@ -45,6 +57,7 @@
             clock=read_boot_clock,
             log=make_log(self.log_lines),
             deliver=lambda _sender, message: self.messages.append(message),
+            transport=transport,
         )
 
     def count_dropped(self) -> int:
@@ -65,8 +78,11 @@
 
 
 class LinkNodeTest(unittest.IsolatedAsyncioTestCase):
+    transport = NNG_TRANSPORT
+
     async def asyncSetUp(self) -> None:
-        self.one, self.two = ReceivingNode("1" * 16), ReceivingNode("2" * 16)
+        self.one = ReceivingNode("1" * 16, transport=self.transport)
+        self.two = ReceivingNode("2" * 16, transport=self.transport)
         self.enterContext(self.one.node)
         self.enterContext(self.two.node)
         self.sender, self.recipient = self.one.node.address, self.two.node.address
@@ -98,17 +114,25 @@
             "another version": encode(unknown_sender, version=99),
             "truncated": encode(unknown_sender)[:-3],
         }
-        with pynng.Push0() as unknown_sender_socket:
-            unknown_sender_socket.dial(self.recipient.link, block=True)
-            for body in cases.values():
-                await unknown_sender_socket.asend(body)
-            self.one.node.send(self.recipient, JobQuery("good"))
-            await self.two.wait_for(1)
-            async with asyncio.timeout(CONDITION_TIMEOUT_S):
-                while self.two.count_dropped() < len(cases):
-                    await asyncio.sleep(0.005)
+        await self.send_bodies(list(cases.values()))
+        self.one.node.send(self.recipient, JobQuery("good"))
+        await self.two.wait_for(1)
+        await self.wait_for_drops(len(cases))
         self.assertEqual(self.two.messages, [JobQuery("good")])
 
+    async def send_bodies(self, bodies: list[bytes]) -> None:
+        """Sends encoded envelopes to the second node from an unknown peer."""
+        unknown_sender_socket = self.enterContext(pynng.Push0())
+        unknown_sender_socket.dial(self.recipient.link, block=True)
+        for body in bodies:
+            await unknown_sender_socket.asend(body)
+
+    async def wait_for_drops(self, count: int) -> None:
+        """Waits until the second node has dropped a number of messages."""
+        async with asyncio.timeout(CONDITION_TIMEOUT_S):
+            while self.two.count_dropped() < count:
+                await asyncio.sleep(0.005)
+
     async def test_message_of_an_older_session_is_dropped(self) -> None:
         unknown_sender = PeerAddress("9" * 16, "tcp://127.0.0.1:1")
         self.two.node.receive(encode(unknown_sender, session=2))
@@ -157,4 +181,106 @@
 
     async def test_address_in_use_is_a_start_error(self) -> None:
         with self.assertRaisesRegex(StartError, "can't listen on tcp://"):
-            self.enterContext(ReceivingNode("4" * 16, self.one.node.listen).node)
+            self.enterContext(
+                ReceivingNode("4" * 16, self.one.node.listen, self.transport).node
+            )
+
+    async def test_redials_of_a_peer_that_never_replies_become_rarer(self) -> None:
+        now = 0.0
+        self.one.node.clock = lambda: now
+        silent_peer = find_free_link_address()
+        redialled_at = []
+        while now < 10.0:
+            session = self.one.node.links.get(silent_peer, OutboundLink("")).session
+            self.one.node.redial(silent_peer)
+            if self.one.node.links[silent_peer].session > session:
+                redialled_at.append(now)
+            now += 0.05
+        pauses = [
+            later - earlier for earlier, later in itertools.pairwise(redialled_at)
+        ]
+        self.assertLess(pauses[0], 0.6)
+        self.assertGreater(min(pauses[3:]), 2.0)
+
+    async def test_a_message_of_the_peer_ends_the_pause_between_redials(self) -> None:
+        now = 10.0
+        self.one.node.clock = lambda: now
+        self.one.node.redial(self.recipient.link)
+        self.one.node.redial(self.recipient.link)
+        self.two.node.send(self.sender, JobQuery("alive"))
+        await self.one.wait_for(1)
+        now += 0.25
+        session = self.one.node.links[self.recipient.link].session
+        self.one.node.redial(self.recipient.link)
+        self.assertEqual(self.one.node.links[self.recipient.link].session, session + 1)
+
+    async def test_a_blocked_link_has_one_timer_however_much_is_sent(self) -> None:
+        unreachable = PeerAddress("5" * 16, find_free_link_address())
+        retries = 0
+        send_pending = self.one.node._send_pending
+
+        def count_retry(link: OutboundLink) -> None:
+            nonlocal retries
+            retries += 1
+            send_pending(link)
+
+        for number in range(SEND_BUFFER_ENVELOPES + 50):
+            self.one.node.send(unreachable, JobQuery(str(number)))
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+        self.one.node._send_pending = count_retry  # type: ignore[method-assign]
+        started_at = self.one.node.clock()
+        await asyncio.sleep(0.1)
+        elapsed_s = self.one.node.clock() - started_at
+        self.assertLessEqual(retries, 1 + elapsed_s / SEND_RETRY_DELAY_S)
+        self.assertEqual(self.one.node.links[unreachable.link].session, 1)
+
+
+class StreamLinkNodeTest(LinkNodeTest):
+    transport = STREAM_TRANSPORT
+
+    async def send_bodies(self, bodies: list[bytes]) -> None:
+        frames = b"".join(len(body).to_bytes(4) + body for body in bodies)
+        await self.send_raw(frames)
+
+    async def send_raw(self, data: bytes) -> asyncio.StreamReader:
+        """Sends data in two parts to the second node from an unknown peer."""
+        host, port = split_link_address(self.recipient.link)
+        reader, writer = await asyncio.open_connection(host, port)
+        self.addCleanup(writer.close)
+        writer.write(data[: len(data) // 2])
+        await writer.drain()
+        await asyncio.sleep(0.02)
+        writer.write(data[len(data) // 2 :])
+        await writer.drain()
+        return reader
+
+    async def test_an_oversized_frame_closes_only_its_connection(self) -> None:
+        self.one.node.send(self.recipient, JobQuery("before"))
+        await self.two.wait_for(1)
+        reader = await self.send_raw((MAX_ENVELOPE_BYTES + 1).to_bytes(4) + b"x" * 100)
+        async with asyncio.timeout(CONDITION_TIMEOUT_S):
+            with suppress(ConnectionError):
+                self.assertEqual(await reader.read(), b"")
+        await self.wait_for_drops(1)
+        self.one.node.send(self.recipient, JobQuery("after"))
+        await self.two.wait_for(2)
+        self.assertEqual(self.one.node.links[self.recipient.link].session, 1)
+
+    async def test_a_frame_cut_off_by_a_lost_connection_is_not_delivered(self) -> None:
+        body = encode(PeerAddress("9" * 16, "tcp://127.0.0.1:1"))
+        host, port = split_link_address(self.recipient.link)
+        with socket.create_connection((host, port)) as cut_off:
+            cut_off.send(len(body).to_bytes(4) + body[:-1])
+        await self.send_bodies([body])
+        await self.two.wait_for(1)
+        await asyncio.sleep(0.05)
+        self.assertEqual(len(self.two.messages), 1)
+
+    async def test_messages_to_a_peer_that_starts_later_arrive(self) -> None:
+        late = ReceivingNode("6" * 16, transport=self.transport)
+        self.one.node.send(late.node.address, JobQuery("early"))
+        await asyncio.sleep(0.1)
+        self.enterContext(late.node)
+        await late.wait_for(1)
+        self.assertEqual(late.messages, [JobQuery("early")])
