--- a/bench/link_slopes.py
+++ b/bench/link_slopes.py
@@ -20,6 +20,7 @@
 from jackdawkeel.controllers.dispatch import DispatchController
 from jackdawkeel.controllers.peers import PeerController
 from jackdawkeel.job_id import mint_incarnation
+from jackdawkeel.link.nng import NNG_TRANSPORT
 from jackdawkeel.link.node import LinkNode
 from jackdawkeel.messages import CancelTasks
 from jackdawkeel.messages import DispatchTasks
@@ -122,6 +123,7 @@
                 address=address,
                 clock=time.monotonic,
                 log=make_log(),
+                transport=NNG_TRANSPORT,
                 deliver=self.deliver,
             )
             for address in self.addresses
--- a/src/jackdawkeel/agent/daemon.py
+++ b/src/jackdawkeel/agent/daemon.py
@@ -18,6 +18,7 @@
 from ..controllers.peers import PeerController
 from ..events import EventName
 from ..job_id import mint_incarnation
+from ..link.nng import NNG_TRANSPORT
 from ..link.node import LinkNode
 from ..logs import EventLog
 from ..messages import AgentDescription
@@ -90,6 +91,7 @@
             address=self.address,
             clock=self.clock,
             log=log,
+            transport=NNG_TRANSPORT,
             deliver=self.deliver,
         )
         self.peers = self._make_peers()
--- a/src/jackdawkeel/entry/daemon.py
+++ b/src/jackdawkeel/entry/daemon.py
@@ -17,6 +17,7 @@
 from ..events import EventName
 from ..http_messages import HttpResponse
 from ..job_id import mint_incarnation
+from ..link.nng import NNG_TRANSPORT
 from ..link.node import LinkNode
 from ..logs import EventLog
 from ..messages import PeerAddress
@@ -77,6 +78,7 @@
             address=self.address,
             clock=self.clock,
             log=log,
+            transport=NNG_TRANSPORT,
             deliver=self.deliver,
         )
         self.quotas = QuotaState()
--- a/src/jackdawkeel/link/node.py
+++ b/src/jackdawkeel/link/node.py
@@ -23,9 +23,6 @@
 from ..messages import Message
 from ..messages import PeerAddress
 from ..messages import WrongRecipient
-from .transport import NNG_TRANSPORT
-from .transport import Connection
-from .transport import Transport
 
 
 if TYPE_CHECKING:
@@ -33,6 +30,8 @@
 
     from ..clock import Clock
     from ..logs import EventLog
+    from .transport import Connection
+    from .transport import Transport
 
 
 # Per link; beyond it the oldest batch is dropped.
@@ -100,8 +99,8 @@
         address: PeerAddress,
         clock: Clock,
         log: EventLog,
+        transport: Transport,
         deliver: Callable[[PeerAddress, Message], None],
-        transport: Transport = NNG_TRANSPORT,
     ) -> None:
         """Creates the node; entering the context opens the listening socket.
 
@@ -112,9 +111,9 @@
             address: Address of this process, as peers know it.
             clock: Clock in seconds.
             log: Event log.
+            transport: Sockets of the links; the same at all peers.
             deliver: Called on the event loop with the sender of a message and the
                 message.
-            transport: Sockets of the links; the same at all peers.
         """
         self.listen = listen
         self.address = address
--- a/src/jackdawkeel/link/stream.py
+++ b/src/jackdawkeel/link/stream.py
@@ -16,6 +16,7 @@
 from .limits import RECONNECT_MAX_MS
 from .limits import RECONNECT_MIN_MS
 from .limits import SEND_BUFFER_ENVELOPES
+from .transport import Transport
 
 
 if TYPE_CHECKING:
@@ -288,3 +289,6 @@
         socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S
     )
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+
+
+STREAM_TRANSPORT = Transport(StreamListener, StreamConnection)
--- a/src/jackdawkeel/link/transport.py
+++ b/src/jackdawkeel/link/transport.py
@@ -1,8 +1,8 @@
-"""The transports of links: NNG sockets and plain TCP streams.
+"""What a link node needs of a transport: NNG sockets or plain TCP streams.
 
 The project's own daemons use NNG. The processes on the users' platform use streams on
-the event loop: NNG hands each message from thread to thread, and its context switches
-take most of the processor time of an agent with half a core.
+the event loop, because NNG hands each message from thread to thread, which costs
+several context switches a message.
 """
 
 from __future__ import annotations
@@ -11,11 +11,6 @@
 from typing import TYPE_CHECKING
 from typing import Protocol
 
-from .inbound import NngListener
-from .outbound import NngConnection
-from .stream import StreamConnection
-from .stream import StreamListener
-
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -54,7 +49,3 @@
         [str, Callable[[bytes], None], Callable[[str, str], None]], Listener
     ]
     dial: Callable[[str, str, Callable[[], None]], Connection]
-
-
-NNG_TRANSPORT = Transport(NngListener, NngConnection)
-STREAM_TRANSPORT = Transport(StreamListener, StreamConnection)
--- a/src/jackdawkeel/scheduling/agent_node.py
+++ b/src/jackdawkeel/scheduling/agent_node.py
@@ -12,7 +12,7 @@
 from ..http_messages import HttpResponse
 from ..link.message_counts import count_messages
 from ..link.node import LinkNode
-from ..link.transport import STREAM_TRANSPORT
+from ..link.stream import STREAM_TRANSPORT
 from ..messages import PeerAddress
 from ..messages import WrongRecipient
 from ..messages.scheduling import OwnerBeat
@@ -94,8 +94,8 @@
             address=self.address,
             clock=self.clock,
             log=log,
-            deliver=self.deliver,
             transport=STREAM_TRANSPORT,
+            deliver=self.deliver,
         )
         self.reports = AgentReports(
             settings=settings,
--- a/src/jackdawkeel/scheduling/entry_node.py
+++ b/src/jackdawkeel/scheduling/entry_node.py
@@ -17,7 +17,7 @@
 from ..http_messages import HttpResponse
 from ..link.message_counts import count_messages
 from ..link.node import LinkNode
-from ..link.transport import STREAM_TRANSPORT
+from ..link.stream import STREAM_TRANSPORT
 from ..messages import PeerAddress
 from ..messages.scheduling import AgentReport
 from ..metrics import CounterName
@@ -101,8 +101,8 @@
             address=self.address,
             clock=self.clock,
             log=log,
-            deliver=self.deliver,
             transport=STREAM_TRANSPORT,
+            deliver=self.deliver,
         )
         self.views = AgentViews(
             settings.availability_zone, self.clock, log, self.node.redial
--- a/tests/link/test_node.py
+++ b/tests/link/test_node.py
@@ -7,6 +7,7 @@
 import socket
 import unittest
 from contextlib import suppress
+from typing import TYPE_CHECKING
 from typing import Any
 
 import msgspec
@@ -16,14 +17,13 @@
 from jackdawkeel.errors import StartError
 from jackdawkeel.link.limits import MAX_ENVELOPE_BYTES
 from jackdawkeel.link.limits import SEND_BUFFER_ENVELOPES
+from jackdawkeel.link.nng import NNG_TRANSPORT
 from jackdawkeel.link.node import ENVELOPE_SPLIT_BYTES
 from jackdawkeel.link.node import SEND_RETRY_DELAY_S
 from jackdawkeel.link.node import LinkNode
 from jackdawkeel.link.node import OutboundLink
+from jackdawkeel.link.stream import STREAM_TRANSPORT
 from jackdawkeel.link.stream import split_link_address
-from jackdawkeel.link.transport import NNG_TRANSPORT
-from jackdawkeel.link.transport import STREAM_TRANSPORT
-from jackdawkeel.link.transport import Transport
 from jackdawkeel.messages import PROTOCOL_VERSION
 from jackdawkeel.messages import Envelope
 from jackdawkeel.messages import JobQuery
@@ -33,6 +33,10 @@
 from tests.fakes import make_log
 
 
+if TYPE_CHECKING:
+    from jackdawkeel.link.transport import Transport
+
+
 CONDITION_TIMEOUT_S = 10.0
 
 
