--- a/src/jackdawkeel/scheduling/agent_node.py
+++ b/src/jackdawkeel/scheduling/agent_node.py
@@ -12,6 +12,7 @@
 from ..http_messages import HttpResponse
 from ..link.message_counts import count_messages
 from ..link.node import LinkNode
+from ..link.stream import STREAM_TRANSPORT
 from ..messages import PeerAddress
 from ..messages import WrongRecipient
 from ..messages.scheduling import OwnerBeat
@@ -93,6 +94,7 @@
             address=self.address,
             clock=self.clock,
             log=log,
+            transport=STREAM_TRANSPORT,
             deliver=self.deliver,
         )
         self.reports = AgentReports(
--- a/src/jackdawkeel/scheduling/entry_node.py
+++ b/src/jackdawkeel/scheduling/entry_node.py
@@ -17,6 +17,7 @@
 from ..http_messages import HttpResponse
 from ..link.message_counts import count_messages
 from ..link.node import LinkNode
+from ..link.stream import STREAM_TRANSPORT
 from ..messages import PeerAddress
 from ..messages.scheduling import AgentReport
 from ..metrics import CounterName
@@ -100,6 +101,7 @@
             address=self.address,
             clock=self.clock,
             log=log,
+            transport=STREAM_TRANSPORT,
             deliver=self.deliver,
         )
         self.views = AgentViews(
