--- a/src/jackdawkeel/scheduling/agent_reports.py
+++ b/src/jackdawkeel/scheduling/agent_reports.py
@@ -54,6 +54,7 @@
         full_report_at: When the last full report was sent.
         sent_at: When any report was last sent.
         reported_free: The free capacity in the last report.
+        reported_accepting: Whether the target accepted new tasks in the last report.
         redialled_at: When its connection was last replaced.
         change_interval_s: Minimum time between reports of changed free capacity that
             the entry requests, in seconds.
@@ -68,6 +69,7 @@
     full_report_at: float = 0.0
     sent_at: float = 0.0
     reported_free: Resources | None = None
+    reported_accepting: bool = False
     redialled_at: float = 0.0
     change_interval_s: float = 0.0
     is_reported_to: bool = False
@@ -203,6 +205,11 @@
         if now >= contact.full_report_at + full_interval_s:
             self._send(contact, is_full=True)
             return
+        if contact.reported_accepting and not self._is_accepting(contact, now):
+            # Entries would assign tasks to a target that refuses them, for example
+            # because it drains, until the next report.
+            self._send(contact, is_full=False)
+            return
         is_changed = free != contact.reported_free
         interval_s = choose_change_interval_s(
             contact.change_interval_s, REPORT_INTERVAL_S
@@ -238,12 +245,13 @@
         contact.reported_free = free
         if is_full:
             contact.full_report_at = now
+        contact.reported_accepting = self._is_accepting(contact, now)
         is_chosen = contact.chosen_at is not None
         contact.is_reported_to = is_chosen or self._has_open_work(contact)
         ended, failed = self.executor.quality.recent_ends
         report = AgentReport(
             sent_at=now,
-            target=self._describe_target(now, is_chosen),
+            target=self._describe_target(contact.reported_accepting),
             free=free,
             assignments_through=0 if owner is None else owner.assignments_through,
             updates=[] if owner is None else owner.collect_updates(is_full),
@@ -256,7 +264,11 @@
         )
         self.send(contact.address, report)
 
-    def _describe_target(self, now: float, is_chosen: bool) -> TargetView:
+    def _is_accepting(self, contact: EntryContact, now: float) -> bool:
+        is_chosen = contact.chosen_at is not None
+        return is_chosen and self.target.find_refusal(now) is None
+
+    def _describe_target(self, is_accepting: bool) -> TargetView:
         report = self.target.report
         return TargetView(
             node=self.settings.node,
@@ -264,5 +276,5 @@
             availability_zone=self.settings.availability_zone,
             labels=[] if report is None else list(report.labels),
             capacity=self.target.capacity,
-            accepting=is_chosen and self.target.find_refusal(now) is None,
+            accepting=is_accepting,
         )
