--- a/src/jackdawkeel/scheduling/agent_node.py
+++ b/src/jackdawkeel/scheduling/agent_node.py
@@ -177,14 +177,20 @@
                 EventName.MESSAGE_DROPPED, reason="bad heartbeat", details=reason
             )
             return HttpResponse(400, b"{}")
+        was_accepting = self.target.find_refusal(self.clock()) is None
         if self.target.apply_report(decoded.unwrap()):
             self.runtime.set_instance(instance)
+        if was_accepting and self.target.find_refusal(self.clock()) is not None:
+            # Entries must not assign tasks to a draining target, and runs that can't
+            # end there in time lose time until the next tick.
+            self.tick()
         return HttpResponse(200, b"{}")
 
     def _answer_metrics(self) -> HttpResponse:
         metrics = self.metrics
         count_messages(metrics, self.node)
         metrics.replace_counts(CounterName.TASKS, self.executor.counts)
+        metrics.replace_counts(CounterName.TASK_STOPS, self.executor.stop_counts)
         return HttpResponse(200, metrics.render_text().encode(), TEXT_TYPE)
 
     # Process lifecycle.
--- a/src/jackdawkeel/scheduling/run_events.py
+++ b/src/jackdawkeel/scheduling/run_events.py
@@ -52,8 +52,22 @@
     )
 
 
-def record_moved(log: EventLog, run: TaskRun, progress: Progress) -> None:
-    """Records the progress of a run that is ended to start elsewhere."""
+def record_moved(
+    log: EventLog,
+    run: TaskRun,
+    progress: Progress,
+    cause: StopCause,
+    remaining_s: float | None,
+) -> None:
+    """Records the progress of a run that is ended to start elsewhere.
+
+    Args:
+        log: Event log.
+        run: The run.
+        progress: Its progress.
+        cause: Why it is ended.
+        remaining_s: Time until its target ends, in seconds; None without short notice.
+    """
     log.record(
         EventName.TASK_MOVED,
         job=run.job_id,
@@ -63,6 +77,8 @@
         age_ms=round(MS_PER_S * progress.age_s, 1),
         idle_ms=round(MS_PER_S * progress.idle_s, 1),
         expected_ms=run.assignment.expected_ms,
+        cause=cause.value,
+        remaining_ms=None if remaining_s is None else round(MS_PER_S * remaining_s, 1),
     )
 
 
--- a/src/jackdawkeel/scheduling/target_state.py
+++ b/src/jackdawkeel/scheduling/target_state.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING
 
 from ..events import EventName
+from ..policy.departure import MIN_NOTICE_CHANGE_S
+from ..policy.departure import is_short_notice
 from .resources import Resources
 
 
@@ -39,6 +41,9 @@
         evacuation_revision: Store revision of that list; -1 before the first.
         unhealthy_until: Until when assignments are refused because the target was
             unhealthy, in seconds of the clock.
+        ends_at: When the target ends, in seconds of the clock; None if it is not
+            draining or the time is unknown.
+        notice_s: How long before that time it was announced, in seconds; None with it.
     """
 
     def __init__(self, availability_zone: str, clock: Clock, log: EventLog) -> None:
@@ -54,6 +59,8 @@
         self.evacuated_zones: frozenset[str] = frozenset()
         self.evacuation_revision = -1
         self.unhealthy_until = 0.0
+        self.ends_at: float | None = None
+        self.notice_s: float | None = None
 
     @property
     def capacity(self) -> Resources:
@@ -96,6 +103,9 @@
         if current is not None and self._is_outdated(report, current):
             return False
         self.report = report
+        if is_new:
+            self._clear_end()
+        self._apply_end(report)
         if is_new:
             self.log.record(
                 EventName.TARGET_HEARD,
@@ -113,6 +123,25 @@
             )
         return is_new
 
+    def _apply_end(self, report: TargetReport) -> None:
+        if not report.is_draining or report.remaining_s is None:
+            self._clear_end()
+            return
+        ends_at = self.clock() + report.remaining_s
+        if self.ends_at is None or ends_at < self.ends_at - MIN_NOTICE_CHANGE_S:
+            self.notice_s = report.remaining_s
+        self.ends_at = ends_at
+
+    def _clear_end(self) -> None:
+        self.ends_at = None
+        self.notice_s = None
+
+    def find_remaining_s(self, now: float) -> float | None:
+        """Returns the time until the target's end if it has short notice, else None."""
+        if self.ends_at is None or not is_short_notice(self.notice_s):
+            return None
+        return self.ends_at - now
+
     def _is_outdated(self, report: TargetReport, current: TargetReport) -> bool:
         if report.born_ms != current.born_ms:
             return report.born_ms < current.born_ms
@@ -124,6 +153,7 @@
         if self.report is not None and self.report.instance == instance:
             self.log.record(EventName.TARGET_GONE, instance=instance)
             self.report = None
+            self._clear_end()
 
     def apply_evacuations(self, zones: frozenset[str], revision: int) -> None:
         """Sets the evacuated zones of a store revision; an older one is ignored."""
--- a/src/jackdawkeel/scheduling/task_executor.py
+++ b/src/jackdawkeel/scheduling/task_executor.py
@@ -25,6 +25,7 @@
 from .run_events import record_started
 from .run_events import record_stopping
 from .run_events import record_stopping_unknown
+from .run_moves import find_move_cause
 from .run_quality import RunQuality
 from .target_runtime import EndKind
 from .target_runtime import Run
@@ -87,6 +88,8 @@
         quality: Judges the target and its runs.
         stop_requested_at: When a stop was first sent for each run that has not ended,
             in seconds of the clock.
+        counts: Number of ended assignments by status.
+        stop_counts: Number of stopped runs by cause.
     """
 
     def __init__(
@@ -128,6 +131,7 @@
         self.next_stop_at: dict[Run, float] = {}
         self.stop_requested_at: dict[Run, float] = {}
         self.counts: Counter[str] = Counter()
+        self.stop_counts: Counter[str] = Counter()
 
     def free_capacity(self) -> Resources:
         """Returns the capacity less all claims, also those of waiting assignments.
@@ -322,6 +326,7 @@
     def _record_stop(self, run: TaskRun, cause: StopCause) -> None:
         now = self.clock()
         if run.add_stop_cause(cause, now) and run.claims_capacity:
+            self.stop_counts[cause.value] += 1
             record_stopping(self.log, run, cause, now)
 
     def _send_stop(self, run: TaskRun) -> None:
@@ -425,10 +430,11 @@
                 self._send_stop(run)
 
     def tick(self) -> None:
-        """Expires owners, resends stops, moves slow runs and starts waiting runs.
+        """Expires owners, resends stops, moves runs and starts waiting runs.
 
-        A run is moved if it makes no progress or is too slow: it is stopped, so that
-        its entry can assign the task to another agent.
+        A run is moved if it makes no progress, is too slow, or can't end before its
+        target does: it is stopped, so that its entry can assign the task to another
+        agent.
         """
         now = self.clock()
         self.quality.refresh(now, self.by_run.values())
@@ -437,17 +443,21 @@
             due = self.next_stop_at.get(run.run, now)
             if run.phase is RunPhase.STOPPING and now >= due:
                 self._send_stop(run)
-            elif run.phase is RunPhase.RUNNING and run.assignment.may_move:
-                self._move_if_slow(run, now)
+            elif run.phase is RunPhase.RUNNING:
+                self._move_if_needed(run, now)
         self.start_waiting()
 
-    def _move_if_slow(self, run: TaskRun, now: float) -> None:
-        if not self.target.is_reachable or not self.quality.should_move(run):
+    def _move_if_needed(self, run: TaskRun, now: float) -> None:
+        cause = find_move_cause(run, self.target, self.quality, now)
+        if cause is None:
             return
-        run.is_moved = True
-        self.quality.record_moved(run, now)
-        record_moved(self.log, run, self.quality.measure_progress(run))
-        self.end_run(run, StopCause.MOVED)
+        if cause is StopCause.MOVED:
+            run.is_moved = True
+            self.quality.record_moved(run, now)
+        progress = self.quality.measure_progress(run)
+        remaining_s = self.target.find_remaining_s(now)
+        record_moved(self.log, run, progress, cause, remaining_s)
+        self.end_run(run, cause)
 
     def _finish(self, run: TaskRun, status: TaskStatus) -> None:
         if run.phase is RunPhase.ENDED:
--- a/src/jackdawkeel/scheduling/task_run.py
+++ b/src/jackdawkeel/scheduling/task_run.py
@@ -43,6 +43,8 @@
     """A later assignment of the same task has arrived."""
     MOVED = "moved"
     """It stalled or was too slow, so that its task is to start elsewhere."""
+    TARGET_LEAVING = "target_leaving"
+    """Its target ends at short notice, before the run could end."""
     START_UNANSWERED = "start_unanswered"
     """The target may have started it, but has not confirmed that."""
     UNKNOWN_RUN = "unknown_run"
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -199,6 +199,19 @@
             self.assertEqual(self.fleet.submit(make_job_id(number), 0, 4).status, 200)
         self.assertEqual(target.runs, [])
 
+    def test_runs_leave_a_reclaimed_target_before_it_ends(self) -> None:
+        self.set_run_time(4.0)
+        self.submit_in_background(make_job_id(1), count=6)
+        self.wait_for_runs(make_job_id(1), 6)
+        target = self.fleet.agents[0].target
+        left = len(target.running)
+        target.ends_at = time.monotonic() + 2.0
+        target.state = "draining"
+        self.wait_for_runs(make_job_id(1), 6 + left)
+        self.assertLess(time.monotonic(), target.ends_at)
+        self.threads[0].join()
+        self.assertEqual(self.statuses[make_job_id(1)], 200, self.fleet.log_tail())
+
     def test_evacuated_zone_receives_no_tasks_until_restored(self) -> None:
         zone = self.fleet.agents[0].zone
         self.fleet.store.put(f"op/evacuate/{zone}", b"{}")
--- a/tests/scheduling/test_task_executor.py
+++ b/tests/scheduling/test_task_executor.py
@@ -66,7 +66,9 @@
     )
 
 
-class TaskExecutorTest(unittest.TestCase):
+class ExecutorTestCase(unittest.TestCase):
+    """Base of the tests of an executor with two cores."""
+
     def setUp(self) -> None:
         self.clock = FakeClock()
         self.target = TargetState(ZONE, self.clock, make_log())
@@ -117,6 +119,8 @@
     def started_tasks(self) -> list[str]:
         return [run.assignment.task for run in self.started]
 
+
+class TaskExecutorTest(ExecutorTestCase):
     def test_assignments_that_do_not_fit_start_when_capacity_is_free(self) -> None:
         self.assign(make_assignment(1), make_assignment(2), make_assignment(3))
         self.assertEqual(self.started_tasks(), ["task-1", "task-2"])
--- a/tests/standins/platform_target.py
+++ b/tests/standins/platform_target.py
@@ -107,6 +107,8 @@
         retained: Bodies of starts that have not taken effect yet.
         faults: Injected faults.
         state: State that the heartbeats report.
+        ends_at: When the target ends, as the heartbeats report it, in seconds of the
+            monotonic clock; None if they don't.
         acknowledged_drains: Number of acknowledged heartbeats with state ``draining``.
         drain_acknowledged_at: Time of the first acknowledgement, in seconds of the
             monotonic clock; infinity before.
@@ -117,6 +119,7 @@
         self.agent_address = agent_address
         self.faults = TargetFaults()
         self.state = "ready"
+        self.ends_at: float | None = None
         self.acknowledged_drains = 0
         self.drain_acknowledged_at = float("inf")
         self.runs: list[RunRecord] = []
@@ -223,6 +226,9 @@
             "version": "v1",
             "capacity": 8,
             "state": state,
+            "remainingMs": None
+            if self.ends_at is None
+            else int(MS_PER_S * max(0.0, self.ends_at - time.monotonic())),
             "warmupLeftMs": 0,
             "room": total_capacity,
             "labels": self.identity.labels,
