--- a/src/jackdawkeel/platform/target_runtime.py
+++ b/src/jackdawkeel/platform/target_runtime.py
@@ -6,9 +6,6 @@
 from typing import TYPE_CHECKING
 
 import msgspec
-import urllib3
-from urllib3.exceptions import HTTPError
-from urllib3.exceptions import NewConnectionError
 
 from ..clock import read_boot_clock
 from ..clock import read_running_clock
@@ -20,6 +17,9 @@
 from ..scheduling.target_runtime import RunningTask
 from ..scheduling.target_runtime import StartOutcome
 from ..scheduling.target_runtime import TargetFailure
+from .target_connections import NoResponseError
+from .target_connections import NotSentError
+from .target_connections import TargetConnections
 from .wire import WireHold
 from .wire import WireHoldResponse
 from .wire import WireStart
@@ -31,11 +31,9 @@
     from ..setting_values import Address
 
 
-CONNECT_TIMEOUT_S = 0.1
 # The target runs on the same VM and responds within a few milliseconds. A request
 # without a response delays the whole job.
 RESPONSE_TIMEOUT_S = 0.06
-MAX_CONNECTIONS = 6
 # Rounding of the target's clock, and differences between transmission delays.
 CLOCK_TOLERANCE_MS = 20
 MS_PER_S = 1000
@@ -102,9 +100,7 @@
     """
 
     def __init__(self, address: Address) -> None:
-        self.pool = urllib3.HTTPConnectionPool(
-            address.host, address.port, maxsize=MAX_CONNECTIONS, block=False
-        )
+        self.connections = TargetConnections(address)
         self.clock = TargetClock()
         self.headers = dict(JSON_HEADERS)
 
@@ -114,7 +110,7 @@
 
     def close(self) -> None:
         """Closes the connections."""
-        self.pool.close()
+        self.connections.close()
 
     def start(
         self, run: Run, payload: str, lease_until: float, fencing_token: int
@@ -142,9 +138,9 @@
         )
         try:
             status, data = self._post("/-/run-start", body, RESPONSE_TIMEOUT_S)
-        except NewConnectionError:
+        except NotSentError:
             return StartOutcome.NOT_SENT
-        except HTTPError:
+        except NoResponseError:
             return StartOutcome.UNKNOWN
         answer = self._record_clock(data)
         if status == 200:
@@ -169,9 +165,9 @@
         body = WireStop(run.task, run.attempt, fencing_token)
         try:
             status, data = self._post("/-/run-stop", body, RESPONSE_TIMEOUT_S)
-        except NewConnectionError:
+        except NotSentError:
             return TargetFailure.UNREACHABLE
-        except HTTPError:
+        except NoResponseError:
             return TargetFailure.NO_ANSWER
         return _classify_failure(status, self._record_clock(data))
 
@@ -203,9 +199,9 @@
         )
         try:
             status, data = self._post("/-/hold", body, wait_s + RESPONSE_TIMEOUT_S)
-        except NewConnectionError:
+        except NotSentError:
             return TargetFailure.UNREACHABLE
-        except HTTPError:
+        except NoResponseError:
             return TargetFailure.NO_ANSWER
         if status != 200:
             failure = _classify_failure(status, self._record_clock(data))
@@ -224,16 +220,9 @@
     def _post(
         self, path: str, body: msgspec.Struct, timeout_s: float
     ) -> tuple[int, bytes]:
-        response = self.pool.request(
-            "POST",
-            path,
-            body=msgspec.json.encode(body),
-            headers=self.headers,
-            retries=False,
-            redirect=False,
-            timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s),
+        return self.connections.post(
+            path, msgspec.json.encode(body), self.headers, timeout_s
         )
-        return response.status, response.data
 
     def _record_clock(self, data: bytes) -> WireTargetResponse:
         try:
