--- a/src/jackdawkeel/scheduling/target_link.py
+++ b/src/jackdawkeel/scheduling/target_link.py
@@ -4,11 +4,11 @@
 
 import asyncio
 from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 from typing import Self
 
 from ..events import EventName
-from ..periodic import restart_on_error
 from .leases import MAX_TARGET_LEASE_S
 from .leases import TARGET_CLOCK_DRIFT
 from .leases import TARGET_LEASE_S
@@ -18,6 +18,8 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from ..clock import Clock
     from ..logs import EventLog
     from .target_runtime import Run
@@ -35,10 +37,55 @@
 RESTART_DELAY_S = 0.1
 # Maximum number of concurrent starts, stops and immediate listings.
 CALL_THREADS = 4
+# Starts that one thread sends one after the other. Each job for a thread costs two
+# thread switches and a wake-up of the event loop; a start takes a few milliseconds.
+MAX_STARTS_PER_JOB = 4
+# Outcomes of starts that may have taken the time of a time-out.
+SLOW_OUTCOMES = frozenset({StartOutcome.UNKNOWN, StartOutcome.NOT_SENT})
+
+
+@dataclass(frozen=True, slots=True)
+class StartCall:
+    """A start to send to the target.
+
+    Attributes:
+        task_run: The assignment.
+        run: The run, as the target identifies it.
+        lease_until: End of its lease, in seconds of the clock; it is not sent later.
+    """
+
+    task_run: TaskRun
+    run: Run
+    lease_until: float
+
+
+@dataclass(frozen=True, slots=True)
+class HoldCall:
+    """A request to list the runs of the target.
+
+    Attributes:
+        requested_at: When it was requested, in seconds of the clock.
+        lease_until: End of the lease to request; None for no renewal.
+        wait_s: Longest wait for the end of a run, in seconds.
+    """
+
+    requested_at: float
+    lease_until: float | None
+    wait_s: float
 
 
 class TargetLink:
-    """Owns the threads that call the target."""
+    """Owns the threads that call the target.
+
+    The threads report to the event loop by callbacks; a future for each call would
+    take several iterations of the loop.
+
+    Attributes:
+        starts: Starts of this iteration of the event loop, not sent yet.
+        is_polling: Whether an immediate listing is pending.
+        is_poll_wanted: Whether another one is to follow it.
+        after_answer: Called after the executor has handled answers of the target.
+    """
 
     def __init__(
         self,
@@ -56,17 +103,21 @@
         self.lease_until = 0.0
         self.last_seen_at = 0.0
         self.pending_stops: set[Run] = set()
+        self.starts: list[StartCall] = []
+        self.is_polling = False
+        self.is_poll_wanted = False
+        self.after_answer: Callable[[], None] = lambda: None
+        self.is_closed = False
 
     def __enter__(self) -> Self:
         self.loop = asyncio.get_running_loop()
         self.hold_thread = ThreadPoolExecutor(1, "target-hold")
         self.call_threads = ThreadPoolExecutor(CALL_THREADS, "target-call")
-        work = restart_on_error(self._poll_forever, self.log, RESTART_DELAY_S)
-        self.task = asyncio.create_task(work)
+        self.loop.call_soon(self._request_hold)
         return self
 
     def __exit__(self, *_: object) -> None:
-        self.task.cancel()
+        self.is_closed = True
         self.hold_thread.shutdown(wait=False, cancel_futures=True)
         self.call_threads.shutdown(wait=False, cancel_futures=True)
         self.runtime.close()
@@ -81,21 +132,50 @@
 
     def start(self, run: TaskRun, lease_until: float) -> None:
         """Sends a start and passes its outcome to the executor."""
-        attempt = run.attempt
         self.lease_until = max(self.lease_until, lease_until)
-
-        def call() -> StartOutcome:
-            if self.clock() >= lease_until:
-                return StartOutcome.LEASE_EXPIRED
-            token = self.target.fencing_token
-            return self.runtime.start(run_key, run.payload, lease_until, token)
-
-        def report(future: asyncio.Future[StartOutcome]) -> None:
-            if not future.cancelled():
-                self.tasks.handle_start_outcome(run, attempt, future.result())
-
-        run_key = run.run
-        self.loop.run_in_executor(self.call_threads, call).add_done_callback(report)
+        if not self.starts:
+            self.loop.call_soon(self._send_starts)
+        self.starts.append(StartCall(run, run.run, lease_until))
+
+    def _send_starts(self) -> None:
+        starts, self.starts = self.starts, []
+        for first in range(0, len(starts), MAX_STARTS_PER_JOB):
+            job = starts[first : first + MAX_STARTS_PER_JOB]
+            self.call_threads.submit(self._call_starts, job)
+
+    def _call_starts(self, calls: list[StartCall]) -> None:
+        outcomes = []
+        for number, call in enumerate(calls, 1):
+            outcome = self._call_start(call)
+            outcomes.append((call, outcome))
+            if outcome in SLOW_OUTCOMES:
+                # The others wait for one time-out only.
+                for other in calls[number:]:
+                    self.call_threads.submit(self._call_starts, [other])
+                break
+        self._report(self._handle_start_outcomes, outcomes)
+
+    def _call_start(self, call: StartCall) -> StartOutcome:
+        if self.clock() >= call.lease_until:
+            return StartOutcome.LEASE_EXPIRED
+        token = self.target.fencing_token
+        payload = call.task_run.payload
+        try:
+            return self.runtime.start(call.run, payload, call.lease_until, token)
+        except Exception:
+            self.log.record_exception("starting a run")
+            return StartOutcome.UNKNOWN
+
+    def _handle_start_outcomes(
+        self, outcomes: list[tuple[StartCall, StartOutcome]]
+    ) -> None:
+        for call, outcome in outcomes:
+            attempt = call.run.attempt
+            try:
+                self.tasks.handle_start_outcome(call.task_run, attempt, outcome)
+            except Exception:
+                # The outcomes of the other starts must not be lost.
+                self.log.record_exception("handling the outcome of a start")
 
     def stop(self, run: Run) -> None:
         """Sends a stop and passes its outcome to the executor.
@@ -105,46 +185,95 @@
         if run in self.pending_stops:
             return
         self.pending_stops.add(run)
-
-        def call() -> TargetFailure | None:
-            return self.runtime.stop(run, self.target.fencing_token)
-
-        def report(future: asyncio.Future[TargetFailure | None]) -> None:
-            self.pending_stops.discard(run)
-            if future.cancelled():
-                return
-            self.tasks.handle_stop_outcome(run, future.result())
-            if future.result() is None:
-                self._poll_now()
-
-        self.loop.run_in_executor(self.call_threads, call).add_done_callback(report)
+        self.call_threads.submit(self._call_stop, run)
+
+    def _call_stop(self, run: Run) -> None:
+        failure: TargetFailure | None = TargetFailure.NO_ANSWER
+        try:
+            failure = self.runtime.stop(run, self.target.fencing_token)
+        except Exception:
+            self.log.record_exception("stopping a run")
+        self._report(self._handle_stop_outcome, run, failure)
+
+    def _handle_stop_outcome(self, run: Run, failure: TargetFailure | None) -> None:
+        self.pending_stops.discard(run)
+        task_run = self.tasks.by_run.get(run)
+        self.tasks.handle_stop_outcome(run, failure)
+        if failure is None and task_run is not None and not task_run.started_at:
+            # It may never have begun, and then no end of a run interrupts the pending
+            # hold call.
+            self._poll_now()
 
     def _poll_now(self) -> None:
-        # If the run never began, no end of a run interrupts the pending hold call.
-        requested_at = self.clock()
-
-        def call() -> Listing | TargetFailure:
-            token = self.target.fencing_token
-            return self.runtime.hold(None, token, self.acknowledged, 0.0)
-
-        def report(future: asyncio.Future[Listing | TargetFailure]) -> None:
-            listing = None if future.cancelled() else future.result()
-            if isinstance(listing, Listing):
-                self._apply_listing(listing, requested_at)
-
-        self.loop.run_in_executor(self.call_threads, call).add_done_callback(report)
-
-    async def _poll_forever(self) -> None:
-        while True:
-            requested_at = self.clock()
-            answer = await self.loop.run_in_executor(
-                self.hold_thread, self._hold, self.choose_lease_end(requested_at)
-            )
+        self.is_poll_wanted = True
+        if not self.is_polling:
+            self._request_poll()
+
+    def _request_poll(self) -> None:
+        self.is_polling = True
+        self.is_poll_wanted = False
+        call = HoldCall(self.clock(), None, 0.0)
+        self.call_threads.submit(self._call_hold, call, self._handle_poll)
+
+    def _handle_poll(self, call: HoldCall, answer: Listing | TargetFailure) -> None:
+        self.is_polling = False
+        if self.is_poll_wanted:
+            self._request_poll()
+        if isinstance(answer, Listing):
+            self._apply_listing(answer, call.requested_at)
+
+    def _request_hold(self) -> None:
+        if self.is_closed:
+            return
+        try:
+            now = self.clock()
+            call = HoldCall(now, self.choose_lease_end(now), HOLD_WAIT_S)
+            self.hold_thread.submit(self._call_hold, call, self._handle_hold)
+        except Exception:
+            self.log.record_exception("requesting a listing of the target")
+            self.loop.call_later(RESTART_DELAY_S, self._request_hold)
+
+    def _handle_hold(self, call: HoldCall, answer: Listing | TargetFailure) -> None:
+        pause_s = 0.0
+        try:
             if isinstance(answer, Listing):
-                self._apply_listing(answer, requested_at)
+                self._apply_listing(answer, call.requested_at)
             else:
+                pause_s = RETRY_DELAY_S
                 self._handle_failure(answer)
-                await asyncio.sleep(RETRY_DELAY_S)
+        except Exception:
+            self.log.record_exception("handling a listing of the target")
+            pause_s = RESTART_DELAY_S
+        if pause_s:
+            self.loop.call_later(pause_s, self._request_hold)
+        else:
+            self._request_hold()
+
+    def _call_hold(
+        self,
+        call: HoldCall,
+        handle: Callable[[HoldCall, Listing | TargetFailure], None],
+    ) -> None:
+        answer: Listing | TargetFailure = TargetFailure.NO_ANSWER
+        try:
+            answer = self.runtime.hold(
+                call.lease_until,
+                self.target.fencing_token,
+                self.acknowledged,
+                call.wait_s,
+            )
+        except Exception:
+            self.log.record_exception("listing the runs of the target")
+        self._report(handle, call, answer)
+
+    def _report(self, handle: Callable[..., None], *arguments: object) -> None:
+        """Calls a function on the event loop, from a thread."""
+
+        def handle_answer() -> None:
+            handle(*arguments)
+            self.after_answer()
+
+        self.loop.call_soon_threadsafe(handle_answer)
 
     def choose_lease_end(self, now: float) -> float | None:
         """Returns the end of the lease to request now; None for no renewal."""
@@ -157,11 +286,6 @@
         self.lease_until = max(self.lease_until, lease_until)
         return lease_until
 
-    def _hold(self, lease_until: float | None) -> Listing | TargetFailure:
-        return self.runtime.hold(
-            lease_until, self.target.fencing_token, self.acknowledged, HOLD_WAIT_S
-        )
-
     def _apply_listing(self, listing: Listing, requested_at: float) -> None:
         is_other_incarnation = listing.born_ms != self.target.born_ms
         if is_other_incarnation and requested_at < self.last_seen_at:
--- a/tests/scheduling/test_target_link.py
+++ b/tests/scheduling/test_target_link.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import threading
 import unittest
 from typing import TYPE_CHECKING
@@ -35,6 +36,8 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from jackdawkeel.messages import PeerAddress
     from jackdawkeel.scheduling.task_run import TaskRun
 
@@ -48,6 +51,12 @@
 # Latest end of the runs of a failed owner after its last reply, while its caller waits.
 RESUBMISSION_DELAY_S = 1.3
 CALL_TIMEOUT_S = 5.0
+CLOCK_STEP_S = 1e-6
+
+
+def make_report() -> TargetReport:
+    """Builds a heartbeat of a target with four cores."""
+    return TargetReport("target-1", 1, 1, "svc", ZONE, (), Resources(4000, 1024), False)
 
 
 class FakeTarget:
@@ -58,6 +67,7 @@
         running: The runs that it lists.
         stops: The stops that it received.
         stops_may_end: Set to let stops return.
+        lost_starts: Tasks whose starts get no reply.
     """
 
     def __init__(self) -> None:
@@ -65,13 +75,15 @@
         self.running: list[Run] = []
         self.stops: list[Run] = []
         self.stops_may_end = threading.Event()
+        self.lost_starts: set[str] = set()
 
     def start(
         self, run: Run, _payload: str, lease_until: float, _fencing_token: int
     ) -> StartOutcome:
         self.lease_until = max(self.lease_until, lease_until)
         self.running.append(run)
-        return StartOutcome.STARTED
+        is_lost = run.task in self.lost_starts
+        return StartOutcome.UNKNOWN if is_lost else StartOutcome.STARTED
 
     def stop(self, run: Run, _fencing_token: int) -> TargetFailure | None:
         self.stops.append(run)
@@ -101,11 +113,7 @@
     def setUp(self) -> None:
         self.clock = FakeClock()
         self.target = TargetState(ZONE, self.clock, make_log())
-        self.target.apply_report(
-            TargetReport(
-                "target-1", 1, 1, "svc", ZONE, (), Resources(4000, 1024), False
-            )
-        )
+        self.target.apply_report(make_report())
         self.target.apply_evacuations(frozenset(), 1)
         self.target.is_prepared = True
         self.runtime = FakeTarget()
@@ -303,30 +311,83 @@
         self.assertEqual(self.statuses(), [(1, TaskStatus.LOST)])
 
 
-class PendingStopTest(unittest.IsolatedAsyncioTestCase):
-    async def test_a_run_has_at_most_one_pending_stop_call(self) -> None:
-        clock = FakeClock()
-        target = TargetState(ZONE, clock, make_log())
-        runtime = FakeTarget()
-        link = TargetLink(runtime, target, clock, make_log())
-        link.executor = TaskExecutor(
-            target=target,
-            clock=clock,
+class StrictClock(FakeClock):
+    """A clock of which no two readings are equal; threads may read it."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.readings = itertools.count(1)
+
+    def __call__(self) -> float:
+        return self.now + CLOCK_STEP_S * next(self.readings)
+
+
+class CallsTest(unittest.IsolatedAsyncioTestCase):
+    """Calls on threads, some of which get no reply.
+
+    They guard against starts that a start without a reply delays or drops, and against
+    starts that run after their lease.
+    """
+
+    def setUp(self) -> None:
+        self.clock = StrictClock()
+        self.target = TargetState(ZONE, self.clock, make_log())
+        self.runtime = FakeTarget()
+        self.link = TargetLink(self.runtime, self.target, self.clock, make_log())
+        self.link.executor = self.executor = TaskExecutor(
+            target=self.target,
+            clock=self.clock,
             log=make_log(),
-            start=link.start,
-            stop=link.stop,
+            start=self.link.start,
+            stop=self.link.stop,
             on_update=lambda _owner: None,
         )
+        self.target.apply_report(make_report())
+        self.target.apply_evacuations(frozenset(), 1)
+        self.target.is_prepared = True
+
+    def assign(self, count: int) -> list[TaskRun]:
+        """Delivers assignments in one message."""
+        assignments = [
+            TaskAssignment(number, f"task-{number}", 1, CORE, 40, 100, may_move=False)
+            for number in range(1, count + 1)
+        ]
+        job = JobAssignments("job", "queue", 0, "payload", assignments)
+        self.executor.handle_start(ENTRY, StartTasks(self.clock(), [job]))
+        return [self.executor.by_task[item.task] for item in assignments]
+
+    async def wait_for(self, condition: Callable[[], bool]) -> None:
+        async with asyncio.timeout(CALL_TIMEOUT_S):
+            while not condition():
+                await asyncio.sleep(0)
+
+    async def test_starts_after_one_without_a_reply_are_sent(self) -> None:
+        self.runtime.lost_starts = {"task-1", "task-3"}
+        with self.link:
+            runs = self.assign(4)
+            expected = [RunPhase.STOPPING, RunPhase.RUNNING] * 2
+            await self.wait_for(lambda: [run.phase for run in runs] == expected)
+            self.assertEqual(len(self.runtime.running), 4)
+            self.runtime.stops_may_end.set()
+
+    async def test_a_start_whose_lease_ends_before_it_is_sent_is_not_sent(self) -> None:
+        with self.link:
+            [run] = self.assign(1)
+            first = run.run
+            self.clock.advance(TARGET_LEASE_S)
+            await self.wait_for(lambda: run.refused_starts > 0)
+            self.assertNotIn(first, self.runtime.running)
+
+    async def test_a_run_has_at_most_one_pending_stop_call(self) -> None:
         run, other = Run("task", 1), Run("other", 1)
-        with link:
+        with self.link:
             for _ in range(3):
-                link.stop(run)
-            link.stop(other)
+                self.link.stop(run)
+            self.link.stop(other)
+            await self.wait_for(lambda: other in self.runtime.stops)
+            self.assertEqual(self.runtime.stops.count(run), 1)
+            self.runtime.stops_may_end.set()
             async with asyncio.timeout(CALL_TIMEOUT_S):
-                while other not in runtime.stops:
-                    await asyncio.sleep(0)
-                self.assertEqual(runtime.stops.count(run), 1)
-                runtime.stops_may_end.set()
-                while runtime.stops.count(run) < 2:
-                    link.stop(run)
+                while self.runtime.stops.count(run) < 2:
+                    self.link.stop(run)
                     await asyncio.sleep(0)
