--- a/src/jackdawkeel/scheduling/agent_node.py
+++ b/src/jackdawkeel/scheduling/agent_node.py
@@ -20,7 +20,6 @@
 from ..messages.scheduling import StopTasks
 from ..metrics import CounterName
 from ..metrics import Metrics
-from ..periodic import run_periodically
 from ..process_signals import handle_stop_signals
 from ..process_signals import log_reload_signals
 from ..setting_values import Address
@@ -89,6 +88,8 @@
             on_update=self._queue_report,
         )
         self.target_link.executor = self.executor
+        # Spares an iteration of the event loop between the end of a run and its report.
+        self.target_link.after_answer = self._report_changes
         self.node = LinkNode(
             listen=settings.link,
             address=self.address,
@@ -147,6 +148,8 @@
         self.changed_owners[owner.address.incarnation] = owner
 
     def _report_changes(self) -> None:
+        if not self.changed_owners:
+            return
         changed, self.changed_owners = self.changed_owners, {}
         self.reports.report_changes(changed.values())
 
@@ -220,16 +223,22 @@
                 stack.enter_context(resource)
             for server in servers:
                 server.start()
-            task = asyncio.create_task(
-                run_periodically(TICK_INTERVAL_S, self.tick, self.log)
-            )
+            self._tick_forever()
             self.log.record(EventName.READY, listen=heartbeats.port)
             await self.stopped.wait()
             await self._drain()
             # Stopping a server blocks until its requests end, and they need this loop.
             for server in servers:
                 await self.loop.run_in_executor(None, server.stop)
-            task.cancel()
+            self.next_tick.cancel()
+
+    def _tick_forever(self) -> None:
+        # A coroutine that sleeps takes two iterations of the event loop for each tick.
+        self.next_tick = self.loop.call_later(TICK_INTERVAL_S, self._tick_forever)
+        try:
+            self.tick()
+        except Exception:
+            self.log.record_exception("calling the tick of the agent")
 
     def tick(self) -> None:
         """Processes timeouts of the assignments and sends due reports."""
--- a/src/jackdawkeel/scheduling/agent_reports.py
+++ b/src/jackdawkeel/scheduling/agent_reports.py
@@ -158,11 +158,12 @@
             return
         now = self.clock()
         free = self.executor.free_capacity()
+        is_refusing = self.target.find_refusal(now) is not None
         if now >= self.chosen_at + REPORT_INTERVAL_S or self.is_choice_outdated:
             self._choose_entries(now, free)
         for contact in list(self.contacts.values()):
             if contact.chosen_at is not None or self._has_open_work(contact):
-                self._report_if_due(contact, now, free)
+                self._report_if_due(contact, now, free, is_refusing)
                 self._replace_silent_link(contact, now)
             elif contact.is_reported_to:
                 self._send(contact, is_full=False)
@@ -196,7 +197,7 @@
         return owner is not None and bool(owner.runs or owner.updates)
 
     def _report_if_due(
-        self, contact: EntryContact, now: float, free: Resources
+        self, contact: EntryContact, now: float, free: Resources, is_refusing: bool
     ) -> None:
         is_responsive = now < contact.last_seen_at + LINK_SILENCE_TIMEOUT_S
         full_interval_s = (
@@ -205,7 +206,7 @@
         if now >= contact.full_report_at + full_interval_s:
             self._send(contact, is_full=True)
             return
-        if contact.reported_accepting and not self._is_accepting(contact, now):
+        if contact.reported_accepting and is_refusing:
             # Entries would assign tasks to a target that refuses them, for example
             # because it drains, until the next report.
             self._send(contact, is_full=False)
@@ -245,13 +246,14 @@
         contact.reported_free = free
         if is_full:
             contact.full_report_at = now
-        contact.reported_accepting = self._is_accepting(contact, now)
         is_chosen = contact.chosen_at is not None
+        is_accepting = is_chosen and self.target.find_refusal(now) is None
+        contact.reported_accepting = is_accepting
         contact.is_reported_to = is_chosen or self._has_open_work(contact)
         ended, failed = self.executor.quality.recent_ends
         report = AgentReport(
             sent_at=now,
-            target=self._describe_target(contact.reported_accepting),
+            target=self._describe_target(is_accepting),
             free=free,
             assignments_through=0 if owner is None else owner.assignments_through,
             updates=[] if owner is None else owner.collect_updates(is_full),
@@ -264,10 +266,6 @@
         )
         self.send(contact.address, report)
 
-    def _is_accepting(self, contact: EntryContact, now: float) -> bool:
-        is_chosen = contact.chosen_at is not None
-        return is_chosen and self.target.find_refusal(now) is None
-
     def _describe_target(self, is_accepting: bool) -> TargetView:
         report = self.target.report
         return TargetView(
