--- a/src/jackdawkeel/policy/packing.py
+++ b/src/jackdawkeel/policy/packing.py
@@ -8,30 +8,34 @@
 
 Targets differ in speed, and tasks take longer outside the rack of their data. A wide
 job with a tight objective is late if one of its tasks is, so targets on which a task
-would end too late are used only if no other target has room.
+would end too late are used only if no other target has room. While fast targets are
+nearly full, tasks that end in time on slower ones leave them free. A task that would
+be late on all targets with room may wait for one that is full.
 """
 
 from __future__ import annotations
 
+import heapq
 import math
 from dataclasses import dataclass
 from dataclasses import field
 from typing import TYPE_CHECKING
 
+from .rack_demand import make_reserve_check
+from .target_rank import do_kinds_differ
+from .target_rank import is_in_time
+from .target_rank import make_rank
+from .target_rank import should_save_fast_targets
+
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from collections.abc import Mapping
 
     from ..scheduling.resources import Resources
     from ..scheduling.specification import StepSpec
 
 
-# Targets whose tasks take this many times as long as expected rank last.
-SLOW_RATIO = 2.0
-# Ratio by which the run times of equal tasks on equal targets vary.
-RUN_TIME_SPREAD = 1.2
-
-
 @dataclass(slots=True)
 class TargetCapacity:
     """The capacity of a target; each placed task reduces what is free.
@@ -66,10 +70,18 @@
     """Targets chosen for the tasks of a step, in the order of the tasks.
 
     Attributes:
-        names: One agent per task; shorter than the tasks if not all fit.
+        targets: One target per task; shorter than the tasks if not all fit.
+        held: Number of tasks for which there is room, but which wait for a target on
+            which they end in time.
     """
 
-    names: list[str] = field(default_factory=list)
+    targets: list[TargetCapacity] = field(default_factory=list)
+    held: int = 0
+
+    @property
+    def names(self) -> list[str]:
+        """The agents of the chosen targets."""
+        return [target.name for target in self.targets]
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,10 +93,12 @@
             by the expected run time.
         remote_slowdown: Run time outside the rack of a task's data, divided by that
             within it.
+        may_wait: Whether tasks wait for a full target if they end in time only there.
     """
 
     max_slowdown: float = math.inf
     remote_slowdown: float = 1.0
+    may_wait: bool = False
 
 
 NO_LIMIT = RunTimeLimit()
@@ -95,6 +109,7 @@
     count: int,
     targets: Iterable[TargetCapacity],
     limit: RunTimeLimit = NO_LIMIT,
+    reserves: Mapping[str, float] | None = None,
 ) -> Placement:
     """Chooses a target for each task until none fits any more.
 
@@ -104,24 +119,50 @@
         targets: Targets to choose from; ``free`` and ``placed`` of the chosen ones
             are updated.
         limit: How long the tasks may take.
+        reserves: Free processors that tasks without a preferred rack leave free in each
+            rack, in thousandths of a core.
     """
     usable = [target for target in targets if _is_usable(step, target)]
-    in_time = {
-        target.name: _predict_slowdown(step, target, limit) <= limit.max_slowdown
-        for target in usable
-    }
     placement = Placement()
-    for _ in range(count):
-        fitting = [target for target in usable if _has_capacity(step, target)]
-        if not fitting:
-            break
-        best = max(
-            fitting,
-            key=lambda target: (in_time[target.name], *_rank(step, target)),
-        )
+    if not usable:
+        return placement
+    kinds_differ = do_kinds_differ(usable)
+    prefers_rack = bool(step.preferred_rack) and limit.remote_slowdown > 1
+    is_uneven = kinds_differ or prefers_rack
+    is_reserved = None
+    if reserves and not step.preferred_rack and limit.remote_slowdown > 1:
+        is_reserved = make_reserve_check(usable, reserves, step.demand.cpu_millis)
+    saves_fast = kinds_differ and should_save_fast_targets(step, usable, limit)
+    rank = make_rank(
+        step, limit, is_reserved, is_uneven=is_uneven, saves_fast=saves_fast
+    )
+    ranked = [
+        (rank(target), index)
+        for index, target in enumerate(usable)
+        if _has_capacity(step, target)
+    ]
+    heapq.heapify(ranked)
+    may_wait = limit.may_wait and is_uneven
+    while ranked and len(placement.targets) < count:
+        key, index = ranked[0]
+        best = usable[index]
+        # Tasks that were just placed in the rack may have used what is not reserved.
+        if is_reserved is not None and not key[3] and is_reserved(best):
+            heapq.heapreplace(ranked, (rank(best), index))
+            continue
+        is_late = key[0]
+        if is_late and may_wait:
+            if any(_is_worth_waiting(step, target, limit) for target in usable):
+                placement.held = count - len(placement.targets)
+                break
+            may_wait = False
         best.free = best.free.minus(step.demand)
         best.placed += 1
-        placement.names.append(best.name)
+        placement.targets.append(best)
+        if _has_capacity(step, best):
+            heapq.heapreplace(ranked, (rank(best), index))
+        else:
+            heapq.heappop(ranked)
     return placement
 
 
@@ -152,26 +193,15 @@
     return target.free.can_fit(step.demand)
 
 
-def _predict_slowdown(
+def _is_worth_waiting(
     step: StepSpec, target: TargetCapacity, limit: RunTimeLimit
-) -> float:
-    is_remote = bool(step.preferred_rack) and not _is_near_data(step, target)
-    remote = limit.remote_slowdown if is_remote else 1.0
-    return target.slowness * remote * RUN_TIME_SPREAD
-
-
-def _is_near_data(step: StepSpec, target: TargetCapacity) -> bool:
-    return bool(step.preferred_rack) and step.preferred_rack in target.labels
-
-
-def _rank(
-    step: StepSpec, target: TargetCapacity
-) -> tuple[bool, bool, bool, bool, float]:
-    share = target.free.cpu_millis / max(1, target.capacity.cpu_millis)
+) -> bool:
+    """Returns whether a task should wait for a full target."""
+    if step.max_per_target and target.placed >= step.max_per_target:
+        return False
     return (
-        not target.is_avoided,
-        target.slowness < SLOW_RATIO,
-        _is_near_data(step, target),
-        target.is_local,
-        share,
+        not target.is_avoided
+        and not target.free.can_fit(step.demand)
+        and target.capacity.can_fit(step.demand)
+        and is_in_time(step, target, limit)
     )
