--- a/src/jackdawkeel/metrics.py
+++ b/src/jackdawkeel/metrics.py
@@ -38,6 +38,7 @@
     ENVELOPES_RECEIVED = "envelopes_received"
     STORE_CALLS = "store_calls"
     TASKS = "tasks"
+    TASKS_HELD = "tasks_held"
 
 
 class GaugeName(StrEnum):
@@ -81,6 +82,7 @@
     CounterName.ENVELOPES_RECEIVED: Description("Envelopes from links.", "link"),
     CounterName.STORE_CALLS: Description("Calls to the store.", "call"),
     CounterName.TASKS: Description("Tasks that ended.", "state"),
+    CounterName.TASKS_HELD: Description("Tasks held for a fast target.", "queue"),
     GaugeName.AGENTS: Description("Agents that are heard.", "state"),
     GaugeName.ENTRIES: Description("Entries that are heard.", "state"),
     GaugeName.JOBS: Description("Jobs that have not ended.", "state"),
--- a/src/jackdawkeel/scheduling/assignment_sender.py
+++ b/src/jackdawkeel/scheduling/assignment_sender.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from ..events import EventName
@@ -11,14 +12,18 @@
 from ..messages.scheduling import TaskAssignment
 from ..policy.packing import RunTimeLimit
 from ..policy.packing import place_tasks
+from ..policy.target_rank import is_near_data
+from ..policy.target_rank import predict_slowdown
 from .job import OpenAssignment
 from .job import TaskPhase
 from .open_assignments import OpenAssignments
+from .rack_demands import RackDemands
 
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
+    from collections.abc import Mapping
 
     from ..clock import Clock
     from ..logs import EventLog
@@ -31,6 +36,7 @@
     from .job import Job
     from .job import Task
     from .run_times import RunTimes
+    from .specification import StepSpec
 
 
 # An agent without room returns an assignment at once: another target is likely to have
@@ -42,6 +48,9 @@
 STOP_RESEND_INTERVAL_S = 0.3
 # Lost runs of one task after which agents no longer end it for lack of progress.
 MAX_LOST_RUNS = 2
+# Jobs whose tasks are held back are recorded, so that each task is counted once. A job
+# that ends while it is held remains until this number is reached.
+MAX_HELD_JOBS = 1000
 MS_PER_S = 1000
 
 
@@ -51,6 +60,10 @@
     Attributes:
         open: The open assignments.
         next_stop_at: When the stop of a cancelled assignment is sent again, by number.
+        rack_demands: Demand for the racks that recent and waiting jobs prefer.
+        held: Number of tasks of a job that were held back for a target on which they
+            end in time, by job id.
+        held_total: Number of tasks that were held back since the start, by queue.
     """
 
     def __init__(
@@ -83,20 +96,34 @@
         self.open = OpenAssignments()
         self.next_number = 1
         self.next_stop_at: dict[int, float] = {}
+        self.rack_demands = RackDemands(run_times)
+        self.held: dict[str, int] = {}
+        self.held_total: Counter[str] = Counter()
 
-    def assign_ready_tasks(self, job: Job, targets: list[TargetCapacity]) -> None:
+    def assign_ready_tasks(
+        self,
+        job: Job,
+        targets: list[TargetCapacity],
+        reserves: Mapping[str, float],
+    ) -> None:
         """Assigns the ready tasks of a job to targets that have room.
 
         Args:
             job: The job.
             targets: Targets of its service; their free capacity is reduced.
+            reserves: Processors that tasks without a preferred rack leave free in each
+                rack, in thousandths of a core.
         """
+        held = 0
         for index in range(len(job.spec.steps)):
             groups: dict[frozenset[str], list[Task]] = {}
             for task in job.ready_tasks(index):
                 groups.setdefault(task.avoided, []).append(task)
             for avoided, tasks in groups.items():
-                self._assign_group(job, index, tasks, avoided, targets)
+                held += self._assign_group(
+                    job, index, tasks, avoided, targets, reserves
+                )
+        self._count_held(job, held)
 
     def _assign_group(
         self,
@@ -105,23 +132,46 @@
         ready: list[Task],
         avoided: frozenset[str],
         targets: list[TargetCapacity],
-    ) -> None:
+        reserves: Mapping[str, float],
+    ) -> int:
+        """Assigns equal tasks and returns how many are held back."""
         _count_placed(job, index, targets)
         for target in targets:
             target.is_avoided = target.name in avoided
+        now = self.clock()
         limit = RunTimeLimit(
-            job.timing.max_slowdown(self.clock()), self.remote_slowdown
+            job.timing.max_slowdown(now),
+            self.remote_slowdown,
+            may_wait=not _is_late(job),
         )
-        placement = place_tasks(job.spec.steps[index], len(ready), targets, limit)
+        step = job.spec.steps[index]
+        placement = place_tasks(step, len(ready), targets, limit, reserves)
         by_agent: dict[str, list[Task]] = {}
         for task, name in zip(ready, placement.names, strict=False):
             by_agent.setdefault(name, []).append(task)
+        chosen = {target.name: target for target in placement.targets}
         for name, tasks in by_agent.items():
-            self._assign_to_agent(job, index, name, tasks)
+            self._assign_to_agent(job, index, chosen[name], tasks)
+        return placement.held
+
+    def _count_held(self, job: Job, held: int) -> None:
+        """Counts the tasks of a job that were not held back in earlier passes."""
+        job_id = job.spec.job_id
+        if not job.has_ready_tasks():
+            self.held.pop(job_id, None)
+            return
+        counted = self.held.get(job_id, 0)
+        if held <= counted:
+            return
+        self.held_total[job.queue.name] += held - counted
+        self.held[job_id] = held
+        if len(self.held) > MAX_HELD_JOBS:
+            del self.held[next(iter(self.held))]
 
     def _assign_to_agent(
-        self, job: Job, step: int, agent: str, tasks: list[Task]
+        self, job: Job, step: int, target: TargetCapacity, tasks: list[Task]
     ) -> None:
+        agent = target.name
         view = self.views.views[agent]
         now = self.clock()
         assignments = [self._open(job, step, agent, task, now) for task in tasks]
@@ -136,8 +186,27 @@
             view_age_ms=round(MS_PER_S * (now - view.last_seen_at), 1),
             free_cpu_millis=view.free_capacity().cpu_millis,
             waited_ms=round(MS_PER_S * (now - job.timing.arrived_at), 1),
+            **self._describe_choice(job, step, target, now),
         )
 
+    def _describe_choice(
+        self, job: Job, step: int, target: TargetCapacity, now: float
+    ) -> dict[str, float | str]:
+        """Returns the log fields with the inputs that decided a placement."""
+        spec = job.spec.steps[step]
+        expected_ms = self.run_times.scale_estimate(job.queue.name, spec.estimate_ms)
+        predicted_ms = expected_ms * predict_slowdown(
+            spec, target, self.remote_slowdown
+        )
+        ends_by = job.timing.arrived_at + job.timing.objective_s
+        return {
+            "run_time_factor": round(target.run_time_factor, 2),
+            "slowness": round(target.slowness, 2),
+            "distance": _describe_distance(spec, target),
+            "predicted_ms": round(predicted_ms, 1),
+            "spare_ms": round(MS_PER_S * (ends_by - now) - predicted_ms, 1),
+        }
+
     def _open(
         self, job: Job, step: int, agent: str, task: Task, now: float
     ) -> OpenAssignment:
@@ -226,6 +295,21 @@
             view.unreported.pop(assignment.number, None)
 
 
+def _is_late(job: Job) -> bool:
+    """Returns whether a running task of a job is predicted to end late."""
+    ends_by = job.timing.arrived_at + job.timing.objective_s
+    return any(
+        assignment.sent_at + assignment.expected_s > ends_by
+        for assignment in job.open_assignments.values()
+    )
+
+
+def _describe_distance(step: StepSpec, target: TargetCapacity) -> str:
+    if not step.preferred_rack:
+        return "none"
+    return "near" if is_near_data(step, target) else "remote"
+
+
 def _count_placed(job: Job, index: int, targets: list[TargetCapacity]) -> None:
     placed: dict[str, int] = {}
     for assignment in job.open_assignments.values():
--- a/src/jackdawkeel/scheduling/job_scheduler.py
+++ b/src/jackdawkeel/scheduling/job_scheduler.py
@@ -149,6 +149,7 @@
         job.waiters.append(waiter)
         self.jobs[spec.job_id] = job
         self.queue.jobs.append(job)
+        self.assignments.rack_demands.record(job, self.clock())
         self.log.record(
             EventName.JOB_ADMITTED,
             job=spec.job_id,
@@ -245,6 +246,7 @@
         self.queue.jobs.sort(key=lambda job: _rank(job, now))
         evacuated = self.evacuated_zones()
         targets_by_service: dict[str, list[TargetCapacity]] = {}
+        reserves: dict[str, dict[str, float]] = {}
         startable = [job for job in self.queue.jobs if self._may_start(job, now)]
         for job in startable:
             service = job.queue.service
@@ -252,7 +254,10 @@
             if targets is None:
                 targets = self.views.target_capacities(service, evacuated)
                 targets_by_service[service] = targets
-            self.assignments.assign_ready_tasks(job, targets)
+                reserves[service] = self.assignments.rack_demands.measure(
+                    service, startable, now
+                )
+            self.assignments.assign_ready_tasks(job, targets, reserves[service])
         self.queue.measure_shortage(now, startable)
 
     def _may_start(self, job: Job, now: float) -> bool:
