--- a/src/jackdawkeel/policy/packing.py
+++ b/src/jackdawkeel/policy/packing.py
@@ -98,7 +98,7 @@
 
     max_slowdown: float = math.inf
     remote_slowdown: float = 1.0
-    may_wait: bool = False
+    may_wait: bool = True
 
 
 NO_LIMIT = RunTimeLimit()
--- a/tests/policy/test_packing.py
+++ b/tests/policy/test_packing.py
@@ -57,13 +57,13 @@
         self.assertEqual(sorted(place_tasks(step, 4, targets).names), ["a", "b", "b"])
 
     def test_targets_on_which_a_task_would_end_too_late_are_used_last(self) -> None:
-        """For a job with a tight objective whose rack is full."""
+        """For a job with a tight objective that is late anyway, whose rack is full."""
         targets = [
             make_target("slow", cores=8, slowness=1.3),
             make_target("fast", cores=4, free=2, slowness=1.0, is_local=False),
         ]
         step = StepSpec(3, CORE, preferred_rack="rack-1")
-        limit = RunTimeLimit(max_slowdown=1.9, remote_slowdown=1.5)
+        limit = RunTimeLimit(max_slowdown=1.9, remote_slowdown=1.5, may_wait=False)
         names = place_tasks(step, 3, targets, limit).names
         self.assertEqual(names, ["fast", "fast", "slow"])
 
--- a/tests/policy/test_uneven_targets.py
+++ b/tests/policy/test_uneven_targets.py
@@ -20,9 +20,9 @@
 CORE = Resources(1000, 64)
 FAST, SLOW = 0.68, 1.64
 # A task in time on all kinds, and one in time on fast targets only.
-LAX = RunTimeLimit(2.0, 3.0, may_wait=True)
-TIGHT = RunTimeLimit(1.0, 3.0, may_wait=True)
-LATE = RunTimeLimit(0.5, 3.0, may_wait=True)
+LAX = RunTimeLimit(2.0, 3.0)
+TIGHT = RunTimeLimit(1.0, 3.0)
+LATE = RunTimeLimit(0.5, 3.0)
 
 
 def make_target(
@@ -81,7 +81,7 @@
                     target.is_avoided = is_avoided
                     targets.append(target)
             step = StepSpec(8, CORE, preferred_rack=rng.choice(("", "r1")))
-            limit = RunTimeLimit(rng.choice((math.inf, 2.0, 1.0)), 1.0, may_wait=True)
+            limit = RunTimeLimit(rng.choice((math.inf, 2.0, 1.0)), 1.0)
             with self.subTest(seed):
                 names = place_tasks(step, 8, sets[0], limit, {"r1": 9000.0}).names
                 before = place_as_before(step, sets[1], limit.max_slowdown)
@@ -110,7 +110,12 @@
         cases = [
             ("full", [make_target("fast", 0, FAST)], TIGHT, ""),
             ("latest start passed", [make_target("fast", 0, FAST)], LATE, "slow"),
-            ("late anyway", [make_target("fast", 0, FAST)], RunTimeLimit(1.0), "slow"),
+            (
+                "late anyway",
+                [make_target("fast", 0, FAST)],
+                RunTimeLimit(1.0, may_wait=False),
+                "slow",
+            ),
             ("too small", [small], TIGHT, "slow"),
             ("failed there", [failed], TIGHT, "slow"),
             ("fast targets lost", [], TIGHT, "slow"),
