--- a/tests/bench/test_large_fleet.py
+++ b/tests/bench/test_large_fleet.py
@@ -4,6 +4,7 @@
 
 import unittest
 
+from bench.large_fleet import uneven
 from bench.large_fleet.__main__ import measure
 from bench.shared_room.simulator import ALL_ENTRIES
 from bench.shared_room.simulator import SharingStrategy
@@ -26,6 +27,10 @@
 MAX_REPORT_SHARE = 0.5
 # A neighbourhood may lose this share of the jobs that end in time with all entries.
 MAX_LOSS = 0.03
+# Share of the jobs that the rules for unequal targets must bring in time in addition.
+MIN_UNEVEN_GAIN = 0.1
+UNEVEN_LOAD = 0.9
+UNEVEN_SECONDS = 3.0
 
 
 class LargeFleetTest(unittest.TestCase):
@@ -47,3 +52,17 @@
                     chosen["reports a second and entry"],
                     MAX_REPORT_SHARE * all_entries["reports a second and entry"],
                 )
+
+    def test_rules_for_unequal_targets_bring_every_kind_of_job_in_time_more_often(
+        self,
+    ) -> None:
+        """Two kinds of targets, and a rack wanted by most short wide jobs."""
+        before, after = (
+            uneven.measure(rules, UNEVEN_LOAD, UNEVEN_SECONDS, SEED)
+            for rules in (uneven.BEFORE, uneven.AFTER)
+        )
+        gain = after["in time"] - before["in time"]
+        self.assertGreater(gain, MIN_UNEVEN_GAIN)
+        for kind in ("short", "long", "small", "hot"):
+            with self.subTest(kind):
+                self.assertGreater(after[kind], before[kind])
