--- a/src/jackdawkeel/metrics.py
+++ b/src/jackdawkeel/metrics.py
@@ -39,6 +39,7 @@
     STORE_CALLS = "store_calls"
     TASKS = "tasks"
     TASK_STOPS = "task_stops"
+    TASKS_HELD = "tasks_held"
 
 
 class GaugeName(StrEnum):
@@ -83,6 +84,7 @@
     CounterName.STORE_CALLS: Description("Calls to the store.", "call"),
     CounterName.TASKS: Description("Tasks that ended.", "state"),
     CounterName.TASK_STOPS: Description("Runs that an agent stopped.", "cause"),
+    CounterName.TASKS_HELD: Description("Tasks held for a fast target.", "queue"),
     GaugeName.AGENTS: Description("Agents that are heard.", "state"),
     GaugeName.ENTRIES: Description("Entries that are heard.", "state"),
     GaugeName.JOBS: Description("Jobs that have not ended.", "state"),
--- a/src/jackdawkeel/scheduling/entry_node.py
+++ b/src/jackdawkeel/scheduling/entry_node.py
@@ -285,6 +285,8 @@
         version = 0 if configuration is None else configuration.version
         metrics.set_gauge(GaugeName.CONFIGURATION_REVISION, version)
         count_messages(metrics, self.node)
+        held = self.scheduler.assignments.held_total
+        metrics.replace_counts(CounterName.TASKS_HELD, held)
         body = metrics.render_text().encode()
         return HttpResponse(200, body, TEXT_TYPE)
 
