--- a/src/jackdawkeel/events.py
+++ b/src/jackdawkeel/events.py
@@ -55,6 +55,7 @@
     TASK_MOVED = "task_moved"
     TARGETS_SUSPECTED = "targets_suspected"
     TASK_REFUSED = "task_refused"
+    RUN_TIME_FACTOR_CHANGED = "run_time_factor_changed"
 
     STORE_REACHED = "store_reached"
     STORE_UNREACHABLE = "store_unreachable"
--- a/src/jackdawkeel/policy/suspects.py
+++ b/src/jackdawkeel/policy/suspects.py
@@ -38,24 +38,30 @@
         ended: Runs that ended.
         failed: Runs of these that failed or stalled.
         slowness: Ratio of observed to expected run time.
+        group: Kind of target whose run times are not learnt yet. Slowness of such
+            targets is compared only within their kind; empty if among all targets.
     """
 
     name: str
     ended: int
     failed: int
     slowness: float
+    group: str = ""
 
 
 def find_suspects(targets: Sequence[TargetStats]) -> frozenset[str]:
     """Returns the targets to exclude: the worst ones, up to the allowed share."""
     if not targets:
         return frozenset()
+    groups: dict[str, list[float]] = {}
+    for target in targets:
+        groups.setdefault(target.group, []).append(target.slowness)
+    medians = {group: median_high(values) for group, values in groups.items()}
     median_share = median_high([_failure_share(target) for target in targets])
-    median_slowness = median_high([target.slowness for target in targets])
     scores = {
         target.name: max(
             _score_failures(target, median_share),
-            _score_slowness(target, median_slowness),
+            _score_slowness(target, medians[target.group]),
         )
         for target in targets
     }
--- a/src/jackdawkeel/scheduling/agent_views.py
+++ b/src/jackdawkeel/scheduling/agent_views.py
@@ -12,8 +12,10 @@
 from ..policy.reporting import request_change_interval_s
 from ..policy.suspects import TargetStats
 from ..policy.suspects import find_suspects
+from ..policy.target_speed import find_kind
 from .leases import LINK_SILENCE_TIMEOUT_S
 from .leases import latest_run_end
+from .run_times import RunTimes
 
 
 if TYPE_CHECKING:
@@ -48,6 +50,8 @@
         is_silent: Whether its silence has been logged.
         listed_version: Version of the list of entries that was last sent to it.
         listed_at: When that list was sent, in seconds of the entry's clock.
+        labels: Labels of its target.
+        kind: Kind of its target; empty if none.
     """
 
     address: PeerAddress
@@ -58,6 +62,22 @@
     is_silent: bool = False
     listed_version: int = -1
     listed_at: float = 0.0
+    labels: frozenset[str] = frozenset()
+    kind: str = ""
+
+    def __post_init__(self) -> None:
+        self._read_labels()
+
+    def set_report(self, report: AgentReport) -> None:
+        """Replaces the report."""
+        has_new_labels = report.target.labels != self.report.target.labels
+        self.report = report
+        if has_new_labels:
+            self._read_labels()
+
+    def _read_labels(self) -> None:
+        self.labels = frozenset(self.report.target.labels)
+        self.kind = find_kind(self.report.target.labels)
 
     def free_capacity(self) -> Resources:
         """Returns the reported free capacity, less that of unreported assignments."""
@@ -76,6 +96,7 @@
             longer reports, so that a report of its predecessor is recognised.
         replaced: Incarnations of agents that another process at their link address has
             replaced, oldest first.
+        run_times: Run times learnt from the ends of runs.
     """
 
     def __init__(
@@ -92,6 +113,7 @@
         self.views: dict[str, AgentView] = {}
         self.links: dict[str, str] = {}
         self.replaced: dict[str, None] = {}
+        self.run_times = RunTimes(clock, log)
         self.suspects: dict[str, frozenset[str]] = {}
 
     def is_replaced(self, sender: PeerAddress, report: AgentReport) -> bool:
@@ -120,7 +142,7 @@
         view = self.views.get(sender.incarnation)
         if view is not None:
             if report.sent_at >= view.report.sent_at:
-                view.report = report
+                view.set_report(report)
             view.last_seen_at = now
             if view.is_silent:
                 view.is_silent = False
@@ -229,27 +251,46 @@
         Suspect targets are excluded.
         """
         usable = list(self.usable_agents(service, evacuated))
+        self.run_times.set_targets(service, self._count_kinds(service))
         suspects = self._find_suspects(service, usable)
+        factors = {
+            kind: self.run_times.find_factor(service, kind)
+            for kind in {view.kind for view in usable}
+        }
         return [
             TargetCapacity(
                 name=view.address.incarnation,
-                labels=frozenset(view.report.target.labels),
+                labels=view.labels,
                 free=view.free_capacity(),
                 capacity=view.report.target.capacity,
                 is_local=view.report.target.availability_zone == self.availability_zone,
                 slowness=view.report.slowness,
+                run_time_factor=factors[view.kind],
             )
             for view in usable
             if view.address.incarnation not in suspects
         ]
 
+    def _count_kinds(self, service: str) -> dict[str, int]:
+        targets: dict[str, int] = {}
+        for view in self.views.values():
+            if view.kind and view.report.target.service == service:
+                targets[view.kind] = targets.get(view.kind, 0) + 1
+        return targets
+
     def _find_suspects(self, service: str, usable: list[AgentView]) -> frozenset[str]:
+        unsettled = {
+            kind
+            for kind in {view.kind for view in usable}
+            if not self.run_times.is_settled(service, kind)
+        }
         target_stats = [
             TargetStats(
                 name=view.address.incarnation,
                 ended=view.report.recent_ended,
                 failed=view.report.recent_failed,
                 slowness=view.report.slowness,
+                group=view.kind if view.kind in unsettled else "",
             )
             for view in usable
         ]
--- a/src/jackdawkeel/scheduling/assignment_sender.py
+++ b/src/jackdawkeel/scheduling/assignment_sender.py
@@ -11,6 +11,7 @@
 from ..messages.scheduling import TaskAssignment
 from ..policy.packing import RunTimeLimit
 from ..policy.packing import place_tasks
+from ..policy.target_speed import find_distance_factor
 from .job import OpenAssignment
 from .job import TaskPhase
 from .open_assignments import OpenAssignments
@@ -142,8 +143,17 @@
         self, job: Job, step: int, agent: str, task: Task, now: float
     ) -> OpenAssignment:
         spec = job.spec.steps[step]
-        expected_s = self.run_times.scale_estimate(
-            job.queue.name, spec.estimate_ms / MS_PER_S
+        view = self.views.views[agent]
+        distance_factor = find_distance_factor(
+            spec.preferred_rack, view.labels, self.remote_slowdown
+        )
+        service = job.queue.service
+        expected_s = (
+            self.run_times.scale_estimate(
+                service, job.queue.name, spec.estimate_ms / MS_PER_S
+            )
+            * self.run_times.find_factor(service, view.kind)
+            * distance_factor
         )
         task.phase = TaskPhase.ASSIGNED
         task.attempts += 1
@@ -152,15 +162,11 @@
         )
         self.next_number += 1
         self.open.add(assignment)
-        self.views.views[agent].unreported[assignment.number] = spec.demand
+        view.unreported[assignment.number] = spec.demand
         return assignment
 
     def _send_start(self, view: AgentView, assignments: list[OpenAssignment]) -> None:
         job = assignments[0].job
-        step = job.spec.steps[assignments[0].task.step]
-        expected_ms = round(
-            self.run_times.scale_estimate(job.queue.name, step.estimate_ms)
-        )
         message = JobAssignments(
             job_id=job.spec.job_id,
             queue=job.queue.name,
@@ -173,7 +179,7 @@
                     attempt=assignment.task.attempts,
                     demand=assignment.demand,
                     start_within_ms=ASSIGNMENT_WAIT_MS,
-                    expected_ms=expected_ms,
+                    expected_ms=round(MS_PER_S * assignment.expected_s),
                     may_move=assignment.task.lost_runs < MAX_LOST_RUNS,
                 )
                 for assignment in assignments
--- a/src/jackdawkeel/scheduling/job_scheduler.py
+++ b/src/jackdawkeel/scheduling/job_scheduler.py
@@ -8,6 +8,7 @@
 from ..errors import ErrorKind
 from ..events import EventName
 from ..messages.scheduling import TaskStatus
+from ..policy.target_speed import find_distance_factor
 from ..policy.waiting import JobTiming
 from ..policy.waiting import choose_retry_delay_s
 from ..policy.waiting import rank_job
@@ -21,7 +22,6 @@
 from .job import make_tasks
 from .job_admission import JobQueue
 from .job_admission import find_refusal
-from .run_times import RunTimes
 
 
 if TYPE_CHECKING:
@@ -38,6 +38,7 @@
     from ..policy.packing import TargetCapacity
     from .agent_views import AgentView
     from .agent_views import AgentViews
+    from .job import OpenAssignment
     from .job import Task
     from .job import TaskNamer
     from .specification import JobSpec
@@ -98,7 +99,8 @@
         self.jobs: dict[str, Job] = {}
         self.ended_jobs: dict[str, Job] = {}
         self.queue = JobQueue()
-        self.run_times = RunTimes()
+        self.run_times = views.run_times
+        self.remote_slowdown = remote_slowdown
         self.connectivity = AgentConnectivity()
         self.assignments = AssignmentSender(
             clock=clock,
@@ -162,7 +164,9 @@
     def _make_job(self, spec: JobSpec, queue: Queue, deadline_s: float) -> Job:
         now = self.clock()
         declared_s = longest_chain_s(spec)
-        expected_s = self.run_times.scale_estimate(queue.name, declared_s)
+        expected_s = self.run_times.scale_estimate(
+            queue.service, queue.name, declared_s
+        )
         timing = JobTiming(
             priority=queue.priority,
             arrived_at=now,
@@ -317,14 +321,27 @@
         if status in (TaskStatus.FAILED, TaskStatus.LOST):
             assignment.task.avoided |= {agent}
         assignment.task.lost_runs += status is TaskStatus.LOST
-        self._apply_end(job, assignment.task, status, update.run_ms)
+        if status is TaskStatus.DONE:
+            self._record_run_time(assignment, update.run_ms)
+        self._apply_end(job, assignment.task, status)
 
-    def _apply_end(
-        self, job: Job, task: Task, status: TaskStatus, run_ms: float
-    ) -> None:
+    def _record_run_time(self, assignment: OpenAssignment, run_ms: float) -> None:
+        job = assignment.job
+        step = job.spec.steps[assignment.task.step]
+        view = self.views.views[assignment.agent]
+        distance_factor = find_distance_factor(
+            step.preferred_rack, view.labels, self.remote_slowdown
+        )
+        self.run_times.record(
+            job.queue.service,
+            job.queue.name,
+            view.kind,
+            run_ms,
+            step.estimate_ms * distance_factor,
+        )
+
+    def _apply_end(self, job: Job, task: Task, status: TaskStatus) -> None:
         if status is TaskStatus.DONE:
-            estimate_ms = job.spec.steps[task.step].estimate_ms
-            self.run_times.record(job.queue.name, run_ms, estimate_ms)
             task.phase = TaskPhase.DONE
             job.unblock_steps()
             if all(job.is_step_done(index) for index in range(len(job.tasks))):
@@ -382,7 +399,7 @@
             if assignment.job.has_ended:
                 self._unblock_successor(assignment.job)
             else:
-                self._apply_end(assignment.job, assignment.task, TaskStatus.LOST, 0.0)
+                self._apply_end(assignment.job, assignment.task, TaskStatus.LOST)
 
     # End of jobs.
 
--- a/tests/policy/test_suspects.py
+++ b/tests/policy/test_suspects.py
@@ -43,6 +43,13 @@
             find_suspects(make_fleet(TargetStats("a", 2, 2, 1.0))), frozenset()
         )
 
+    def test_targets_of_a_kind_not_learnt_yet_are_compared_within_it(self) -> None:
+        slow_kind = [TargetStats(f"b-{n}", 9, 0, 4.0, "b") for n in range(4)]
+        fleet = make_fleet(*slow_kind)
+        self.assertEqual(find_suspects(fleet), frozenset())
+        fleet.append(TargetStats("slow", 9, 0, 20.0, "b"))
+        self.assertEqual(find_suspects(fleet), {"slow"})
+
     def test_at_most_a_third_is_excluded_worst_first(self) -> None:
         outliers = [
             TargetStats(f"outlier-{number}", 40, 20 + number, 1.0)
