--- a/src/jackdawkeel/policy/suspects.py
+++ b/src/jackdawkeel/policy/suspects.py
@@ -57,14 +57,16 @@
     for target in targets:
         groups.setdefault(target.group, []).append(target.slowness)
     medians = {group: median_high(values) for group, values in groups.items()}
-    median_share = median_high([_failure_share(target) for target in targets])
     scores = {
-        target.name: max(
-            _score_failures(target, median_share),
-            _score_slowness(target, medians[target.group]),
-        )
+        target.name: _score_slowness(target.slowness, medians[target.group])
         for target in targets
     }
+    failing = [target for target in targets if target.failed >= MIN_FAILURES]
+    if failing:
+        median_share = median_high([_failure_share(target) for target in targets])
+        for target in failing:
+            score = _score_failures(target, median_share)
+            scores[target.name] = max(scores[target.name], score)
     worst = sorted(
         (name for name, score in scores.items() if score > 0),
         key=lambda name: (-scores[name], name),
@@ -79,11 +81,9 @@
 def _score_failures(stats: TargetStats, median_share: float) -> float:
     share = _failure_share(stats)
     limit = max(FAILURE_SHARE, FAILURE_MULTIPLE * median_share)
-    if stats.failed < MIN_FAILURES or share < limit:
-        return 0.0
-    return 1 + share
+    return 1 + share if share >= limit else 0.0
 
 
-def _score_slowness(stats: TargetStats, median_slowness: float) -> float:
-    ratio = stats.slowness / median_slowness if median_slowness else 1.0
+def _score_slowness(slowness: float, median_slowness: float) -> float:
+    ratio = slowness / median_slowness if median_slowness else 1.0
     return 1 - 1 / ratio if ratio >= SLOW_MULTIPLE else 0.0
--- a/src/jackdawkeel/scheduling/agent_views.py
+++ b/src/jackdawkeel/scheduling/agent_views.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from dataclasses import field
 from statistics import median_high
@@ -34,6 +35,9 @@
 # Number of replaced incarnations that are remembered, because their messages may still
 # arrive.
 MAX_REPLACED_AGENTS = 4000
+# Age up to which suspects, the median slowness and the number of targets of each kind
+# are used again: one tick of the entry. Scheduling passes are up to 56 a second.
+SUMMARY_AGE_S = 0.05
 
 
 @dataclass(slots=True, eq=False)
@@ -87,6 +91,21 @@
         return free
 
 
+@dataclass(slots=True)
+class ServiceSummary:
+    """What an entry has derived from the reports of a service's usable agents.
+
+    Attributes:
+        made_at: When it was made, in seconds of the entry's clock.
+        names: Incarnations of these agents.
+        suspects: Those of them whose targets are suspect.
+    """
+
+    made_at: float
+    names: list[str]
+    suspects: frozenset[str]
+
+
 class AgentViews:
     """The newest reports of all agents.
 
@@ -115,6 +134,9 @@
         self.replaced: dict[str, None] = {}
         self.run_times = RunTimes(clock, log)
         self.suspects: dict[str, frozenset[str]] = {}
+        self.summaries: dict[str, ServiceSummary] = {}
+        self.median = 1.0
+        self.median_made_at = -math.inf
 
     def is_replaced(self, sender: PeerAddress, report: AgentReport) -> bool:
         """Returns whether a newer process has reported from the agent's address.
@@ -235,9 +257,16 @@
         return request_change_interval_s(len(self.views))
 
     def median_slowness(self) -> float:
-        """Returns the median of the slowness that agents report, at least 1."""
-        reported = [view.report.slowness for view in self.views.values()]
-        return max(1.0, median_high(reported)) if reported else 1.0
+        """Returns the median of the slowness that agents report, at least 1.
+
+        It is up to ``SUMMARY_AGE_S`` old.
+        """
+        now = self.clock()
+        if now >= self.median_made_at + SUMMARY_AGE_S:
+            self.median_made_at = now
+            reported = [view.report.slowness for view in self.views.values()]
+            self.median = max(1.0, median_high(reported)) if reported else 1.0
+        return self.median
 
     def has_accepting(self) -> bool:
         """Returns whether any agent accepts new tasks."""
@@ -248,11 +277,11 @@
     ) -> list[TargetCapacity]:
         """Returns the targets that may run tasks of a service, with their capacity.
 
-        Suspect targets are excluded.
+        Suspect targets are excluded; reports of the last ``SUMMARY_AGE_S`` may not be
+        included in that decision.
         """
         usable = list(self.usable_agents(service, evacuated))
-        self.run_times.set_targets(service, self._count_kinds(service))
-        suspects = self._find_suspects(service, usable)
+        suspects = self._summarise(service, usable).suspects
         factors = {
             kind: self.run_times.find_factor(service, kind)
             for kind in {view.kind for view in usable}
@@ -271,6 +300,26 @@
             if view.address.incarnation not in suspects
         ]
 
+    def _summarise(self, service: str, usable: list[AgentView]) -> ServiceSummary:
+        """Returns the summary of the usable agents, made anew if it is out of date.
+
+        It is valid only for the same agents, because the share of targets that may be
+        excluded depends on their number.
+        """
+        now = self.clock()
+        names = [view.address.incarnation for view in usable]
+        summary = self.summaries.get(service)
+        if (
+            summary is None
+            or now >= summary.made_at + SUMMARY_AGE_S
+            or names != summary.names
+        ):
+            self.run_times.set_targets(service, self._count_kinds(service))
+            suspects = self._find_suspects(service, usable)
+            summary = ServiceSummary(now, names, suspects)
+            self.summaries[service] = summary
+        return summary
+
     def _count_kinds(self, service: str) -> dict[str, int]:
         targets: dict[str, int] = {}
         for view in self.views.values():
