--- a/src/jackdawkeel/scheduling/agent_views.py
+++ b/src/jackdawkeel/scheduling/agent_views.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from dataclasses import field
 from statistics import median_high
@@ -12,8 +13,10 @@
 from ..policy.reporting import request_change_interval_s
 from ..policy.suspects import TargetStats
 from ..policy.suspects import find_suspects
+from ..policy.target_speed import find_kind
 from .leases import LINK_SILENCE_TIMEOUT_S
 from .leases import latest_run_end
+from .run_times import RunTimes
 
 
 if TYPE_CHECKING:
@@ -32,6 +35,9 @@
 # Number of replaced incarnations that are remembered, because their messages may still
 # arrive.
 MAX_REPLACED_AGENTS = 4000
+# Age up to which suspects, the median slowness and the number of targets of each kind
+# are used again: one tick of the entry. Scheduling passes are up to 56 a second.
+SUMMARY_AGE_S = 0.05
 
 
 @dataclass(slots=True, eq=False)
@@ -48,6 +54,8 @@
         is_silent: Whether its silence has been logged.
         listed_version: Version of the list of entries that was last sent to it.
         listed_at: When that list was sent, in seconds of the entry's clock.
+        labels: Labels of its target.
+        kind: Kind of its target; empty if none.
     """
 
     address: PeerAddress
@@ -58,6 +66,22 @@
     is_silent: bool = False
     listed_version: int = -1
     listed_at: float = 0.0
+    labels: frozenset[str] = frozenset()
+    kind: str = ""
+
+    def __post_init__(self) -> None:
+        self._read_labels()
+
+    def set_report(self, report: AgentReport) -> None:
+        """Replaces the report."""
+        has_new_labels = report.target.labels != self.report.target.labels
+        self.report = report
+        if has_new_labels:
+            self._read_labels()
+
+    def _read_labels(self) -> None:
+        self.labels = frozenset(self.report.target.labels)
+        self.kind = find_kind(self.report.target.labels)
 
     def free_capacity(self) -> Resources:
         """Returns the reported free capacity, less that of unreported assignments."""
@@ -67,6 +91,21 @@
         return free
 
 
+@dataclass(slots=True)
+class ServiceSummary:
+    """What an entry has derived from the reports of a service's usable agents.
+
+    Attributes:
+        made_at: When it was made, in seconds of the entry's clock.
+        names: Incarnations of these agents.
+        suspects: Those of them whose targets are suspect.
+    """
+
+    made_at: float
+    names: list[str]
+    suspects: frozenset[str]
+
+
 class AgentViews:
     """The newest reports of all agents.
 
@@ -76,6 +115,7 @@
             longer reports, so that a report of its predecessor is recognised.
         replaced: Incarnations of agents that another process at their link address has
             replaced, oldest first.
+        run_times: Run times learnt from the ends of runs.
     """
 
     def __init__(
@@ -92,7 +132,11 @@
         self.views: dict[str, AgentView] = {}
         self.links: dict[str, str] = {}
         self.replaced: dict[str, None] = {}
+        self.run_times = RunTimes(clock, log)
         self.suspects: dict[str, frozenset[str]] = {}
+        self.summaries: dict[str, ServiceSummary] = {}
+        self.median = 1.0
+        self.median_made_at = -math.inf
 
     def is_replaced(self, sender: PeerAddress, report: AgentReport) -> bool:
         """Returns whether a newer process has reported from the agent's address.
@@ -120,7 +164,7 @@
         view = self.views.get(sender.incarnation)
         if view is not None:
             if report.sent_at >= view.report.sent_at:
-                view.report = report
+                view.set_report(report)
             view.last_seen_at = now
             if view.is_silent:
                 view.is_silent = False
@@ -213,9 +257,16 @@
         return request_change_interval_s(len(self.views))
 
     def median_slowness(self) -> float:
-        """Returns the median of the slowness that agents report, at least 1."""
-        reported = [view.report.slowness for view in self.views.values()]
-        return max(1.0, median_high(reported)) if reported else 1.0
+        """Returns the median of the slowness that agents report, at least 1.
+
+        It is up to ``SUMMARY_AGE_S`` old.
+        """
+        now = self.clock()
+        if now >= self.median_made_at + SUMMARY_AGE_S:
+            self.median_made_at = now
+            reported = [view.report.slowness for view in self.views.values()]
+            self.median = max(1.0, median_high(reported)) if reported else 1.0
+        return self.median
 
     def has_accepting(self) -> bool:
         """Returns whether any agent accepts new tasks."""
@@ -226,30 +277,69 @@
     ) -> list[TargetCapacity]:
         """Returns the targets that may run tasks of a service, with their capacity.
 
-        Suspect targets are excluded.
+        Suspect targets are excluded; reports of the last ``SUMMARY_AGE_S`` may not be
+        included in that decision.
         """
         usable = list(self.usable_agents(service, evacuated))
-        suspects = self._find_suspects(service, usable)
+        suspects = self._summarise(service, usable).suspects
+        factors = {
+            kind: self.run_times.find_factor(service, kind)
+            for kind in {view.kind for view in usable}
+        }
         return [
             TargetCapacity(
                 name=view.address.incarnation,
-                labels=frozenset(view.report.target.labels),
+                labels=view.labels,
                 free=view.free_capacity(),
                 capacity=view.report.target.capacity,
                 is_local=view.report.target.availability_zone == self.availability_zone,
                 slowness=view.report.slowness,
+                run_time_factor=factors[view.kind],
             )
             for view in usable
             if view.address.incarnation not in suspects
         ]
 
+    def _summarise(self, service: str, usable: list[AgentView]) -> ServiceSummary:
+        """Returns the summary of the usable agents, made anew if it is out of date.
+
+        It is valid only for the same agents, because the share of targets that may be
+        excluded depends on their number.
+        """
+        now = self.clock()
+        names = [view.address.incarnation for view in usable]
+        summary = self.summaries.get(service)
+        if (
+            summary is None
+            or now >= summary.made_at + SUMMARY_AGE_S
+            or names != summary.names
+        ):
+            self.run_times.set_targets(service, self._count_kinds(service))
+            suspects = self._find_suspects(service, usable)
+            summary = ServiceSummary(now, names, suspects)
+            self.summaries[service] = summary
+        return summary
+
+    def _count_kinds(self, service: str) -> dict[str, int]:
+        targets: dict[str, int] = {}
+        for view in self.views.values():
+            if view.kind and view.report.target.service == service:
+                targets[view.kind] = targets.get(view.kind, 0) + 1
+        return targets
+
     def _find_suspects(self, service: str, usable: list[AgentView]) -> frozenset[str]:
+        unsettled = {
+            kind
+            for kind in {view.kind for view in usable}
+            if not self.run_times.is_settled(service, kind)
+        }
         target_stats = [
             TargetStats(
                 name=view.address.incarnation,
                 ended=view.report.recent_ended,
                 failed=view.report.recent_failed,
                 slowness=view.report.slowness,
+                group=view.kind if view.kind in unsettled else "",
             )
             for view in usable
         ]
--- a/src/jackdawkeel/scheduling/job.py
+++ b/src/jackdawkeel/scheduling/job.py
@@ -99,6 +99,8 @@
         waiters: One future for each request that waits for the answer.
         open_assignments: Its assignments whose tasks may be running, by number.
         has_run: Whether a run of any of its tasks may have ended.
+        run_logs: Logarithms of observed by estimated run time of the tasks that have
+            succeeded, by step and kind of target.
         error: Why it ended without a result, or None.
         result: Its result, or None.
     """
@@ -110,6 +112,7 @@
     waiters: list[asyncio.Future[None]] = field(default_factory=list)
     open_assignments: dict[int, OpenAssignment] = field(default_factory=dict)
     has_run: bool = False
+    run_logs: dict[int, dict[str, list[float]]] = field(default_factory=dict)
     error: DispatchError | None = None
     result: JobResult | None = None
 
--- a/src/jackdawkeel/scheduling/rack_demands.py
+++ b/src/jackdawkeel/scheduling/rack_demands.py
@@ -61,7 +61,7 @@
             if not step.preferred_rack:
                 continue
             expected_s = self.run_times.scale_estimate(
-                job.queue.name, step.estimate_ms / MS_PER_S
+                job.queue.service, job.queue.name, step.estimate_ms / MS_PER_S
             )
             racks = self.recent.setdefault(job.queue.service, {})
             work = racks.setdefault(step.preferred_rack, RecentWork(0.0, now))
--- a/src/jackdawkeel/scheduling/target_link.py
+++ b/src/jackdawkeel/scheduling/target_link.py
@@ -138,6 +138,8 @@
         self.starts.append(StartCall(run, run.run, lease_until))
 
     def _send_starts(self) -> None:
+        if self.is_closed:
+            return
         starts, self.starts = self.starts, []
         for first in range(0, len(starts), MAX_STARTS_PER_JOB):
             job = starts[first : first + MAX_STARTS_PER_JOB]
