--- a/src/jackdawkeel/metrics.py
+++ b/src/jackdawkeel/metrics.py
@@ -38,6 +38,9 @@
     ENVELOPES_RECEIVED = "envelopes_received"
     STORE_CALLS = "store_calls"
     TASKS = "tasks"
+    JOBS_IN_TIME = "jobs_in_time"
+    JOBS_LATE = "jobs_late"
+    JOBS_REFUSED = "jobs_refused"
 
 
 class GaugeName(StrEnum):
@@ -81,6 +84,9 @@
     CounterName.ENVELOPES_RECEIVED: Description("Envelopes from links.", "link"),
     CounterName.STORE_CALLS: Description("Calls to the store.", "call"),
     CounterName.TASKS: Description("Tasks that ended.", "state"),
+    CounterName.JOBS_IN_TIME: Description("Jobs answered in time.", "queue"),
+    CounterName.JOBS_LATE: Description("Jobs answered late.", "queue"),
+    CounterName.JOBS_REFUSED: Description("Jobs refused.", "queue_and_reason"),
     GaugeName.AGENTS: Description("Agents that are heard.", "state"),
     GaugeName.ENTRIES: Description("Entries that are heard.", "state"),
     GaugeName.JOBS: Description("Jobs that have not ended.", "state"),
--- a/src/jackdawkeel/policy/waiting.py
+++ b/src/jackdawkeel/policy/waiting.py
@@ -2,8 +2,8 @@
 
 Designed for bursts of some seconds in which more work arrives than the targets can run.
 Jobs that can still meet their latency objective go first, by the operators' priority
-and then by their latest start. Jobs for which there is no room soon are refused
-when they arrive, and those that would end long after their objective before they start.
+and then by their latest start. Late jobs follow while their answers are still useful to
+their callers; those that would end later are refused before they start.
 """
 
 from __future__ import annotations
@@ -17,10 +17,11 @@
     import random
 
 
-# A job that has not started is refused if it would end later than this multiple of its
-# objective: a retry then serves its caller better, and the capacity serves a job that
-# can still meet its objective.
-MAX_END_OBJECTIVES = 1.5
+# A late answer is worth something to its caller until this multiple of the objective.
+MAX_END_OBJECTIVES = 3.0
+# Part of the objective by which a job must be predicted to end before its limit,
+# because run times vary.
+LIMIT_MARGIN_OBJECTIVES = 0.1
 # A process that shuts down admits a job only if there is time for this many runs of it,
 # because a failed or stalled task is run once more.
 RUNS_BEFORE_SHUTDOWN = 2
@@ -65,21 +66,56 @@
 
     @property
     def last_useful_start(self) -> float:
-        """Latest time to start and still return a useful answer."""
+        """Latest time to start and still return a useful answer.
+
+        The margin applies to late answers only: a job with free capacity is not
+        refused because its caller's budget is short.
+        """
+        margin_s = LIMIT_MARGIN_OBJECTIVES * self.objective_s
+        in_time_until = min(self.arrived_at + self.objective_s, self.deadline_at)
+        return max(in_time_until, self.limit_at - margin_s) - self.expected_s
+
+    @property
+    def limit_at(self) -> float:
+        """Latest time at which an answer is useful to the caller."""
         useful_until = self.arrived_at + MAX_END_OBJECTIVES * self.objective_s
-        return min(useful_until, self.deadline_at) - self.expected_s
+        return min(useful_until, self.deadline_at)
+
+
+def can_be_in_time(
+    timing: JobTiming, now: float, *, has_begun: bool, is_late: bool
+) -> bool:
+    """Returns whether a job is served with those that can meet their objective.
+
+    A job that has begun in time does not become late: its answer needs all its
+    tasks, and the work already done for it would be lost.
+
+    Args:
+        timing: Times and priority of the job.
+        now: Time in clock seconds.
+        has_begun: Whether any of its tasks may have run.
+        is_late: Whether it was admitted, or has begun, as a late job.
+    """
+    return not is_late and (has_begun or now <= timing.latest_start)
 
 
 def rank_job(
-    timing: JobTiming, now: float, *, has_begun: bool
+    timing: JobTiming, now: float, *, has_begun: bool, is_late: bool = False
 ) -> tuple[bool, int, float]:
     """Returns a sort key; the job with the smallest key is served first.
 
-    A job that has begun never ranks as late: its answer needs all its tasks, and the
-    work already done for it would be lost.
+    Late jobs follow those in time. Among them, those that have begun go first, then
+    those with the earliest end of their useful time.
+
+    Args:
+        timing: Times and priority of the job.
+        now: Time in clock seconds.
+        has_begun: Whether any of its tasks may have run.
+        is_late: Whether it was admitted, or has begun, as a late job.
     """
-    is_late = now > timing.latest_start and not has_begun
-    return (is_late, timing.priority, timing.latest_start)
+    if can_be_in_time(timing, now, has_begun=has_begun, is_late=is_late):
+        return (False, timing.priority, timing.latest_start)
+    return (True, not has_begun, timing.last_useful_start)
 
 
 def would_end_too_late(timing: JobTiming, now: float, expected_wait_s: float) -> bool:
@@ -137,11 +173,15 @@
     return now + expected_wait_s + RUNS_BEFORE_SHUTDOWN * timing.expected_s <= end_at
 
 
-def choose_retry_delay_s(expected_wait_s: float, rng: random.Random) -> float:
+def choose_retry_delay_s(release_s: float, rng: random.Random) -> float:
     """Returns the delay after which a refused caller may retry, in seconds.
 
-    Delays are spread at random from the expected wait to twice as long, within
+    Delays are spread at random from the predicted release to twice as long, within
     ``MIN_RETRY_DELAY_S`` and ``MAX_RETRY_DELAY_S``.
+
+    Args:
+        release_s: Predicted time until all waiting jobs have capacity, in seconds.
+        rng: Source of the random spread.
     """
-    base = min(max(expected_wait_s, MIN_RETRY_DELAY_S), MAX_RETRY_DELAY_S)
+    base = min(max(release_s, MIN_RETRY_DELAY_S), MAX_RETRY_DELAY_S)
     return min(base * rng.uniform(1.0, 2.0), MAX_RETRY_DELAY_S)
--- a/src/jackdawkeel/scheduling/entry_node.py
+++ b/src/jackdawkeel/scheduling/entry_node.py
@@ -283,6 +283,7 @@
         version = 0 if configuration is None else configuration.version
         metrics.set_gauge(GaugeName.CONFIGURATION_REVISION, version)
         count_messages(metrics, self.node)
+        self.scheduler.outcomes.export(metrics)
         body = metrics.render_text().encode()
         return HttpResponse(200, body, TEXT_TYPE)
 
--- a/src/jackdawkeel/scheduling/job.py
+++ b/src/jackdawkeel/scheduling/job.py
@@ -7,6 +7,9 @@
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
+from ..policy.waiting import can_be_in_time
+from ..policy.waiting import rank_job
+
 
 if TYPE_CHECKING:
     import asyncio
@@ -99,6 +102,8 @@
         waiters: One future for each request that waits for the answer.
         open_assignments: Its assignments whose tasks may be running, by number.
         has_run: Whether a run of any of its tasks may have ended.
+        is_late: Whether it was admitted, or has begun, as a late job, which gets only
+            capacity that jobs in time leave.
         error: Why it ended without a result, or None.
         result: Its result, or None.
     """
@@ -110,6 +115,7 @@
     waiters: list[asyncio.Future[None]] = field(default_factory=list)
     open_assignments: dict[int, OpenAssignment] = field(default_factory=dict)
     has_run: bool = False
+    is_late: bool = False
     error: DispatchError | None = None
     result: JobResult | None = None
 
@@ -126,6 +132,28 @@
         """Whether the answer to its callers is known."""
         return self.error is not None or self.result is not None
 
+    def rank(self, now: float) -> tuple[bool, int, float]:
+        """Returns its sort key among waiting jobs; the smallest is served first."""
+        return rank_job(
+            self.timing, now, has_begun=self.has_begun, is_late=self.is_late
+        )
+
+    def can_be_in_time(self, now: float) -> bool:
+        """Returns whether it is served with the jobs that can be in time."""
+        return can_be_in_time(
+            self.timing, now, has_begun=self.has_begun, is_late=self.is_late
+        )
+
+    def work_s(self) -> float:
+        """Returns the expected processor seconds of all its tasks."""
+        expected_s = self.timing.expected_s
+        chain_s = longest_chain_s(self.spec)
+        ratio = expected_s / chain_s if chain_s > 0 else 1.0
+        return ratio * sum(
+            step.count * step.demand.cpu_millis / 1000 * step.estimate_ms / 1000
+            for step in self.spec.steps
+        )
+
     def ready_tasks(self, step: int) -> list[Task]:
         """Returns the tasks of a step that are ready to be assigned."""
         return [task for task in self.tasks[step] if task.phase is TaskPhase.READY]
--- a/src/jackdawkeel/scheduling/job_admission.py
+++ b/src/jackdawkeel/scheduling/job_admission.py
@@ -1,4 +1,4 @@
-"""Decides whether an entry accepts a new job, from the state of its queue."""
+"""Decides whether an entry accepts a new job, and whether a waiting one may start."""
 
 from __future__ import annotations
 
@@ -11,20 +11,27 @@
 from ..errors import ErrorKind
 from ..policy.packing import can_ever_run
 from ..policy.packing import count_fitting_tasks
+from ..policy.sharing import Admission
+from ..policy.sharing import PredictedWait
+from ..policy.sharing import decide_admission
+from ..policy.sharing import late_rate_share
+from ..policy.sharing import may_late_job_start
 from ..policy.waiting import can_end_before
 from ..policy.waiting import choose_retry_delay_s
 from ..policy.waiting import predict_wait_s
 from ..policy.waiting import rank_job
-from ..policy.waiting import would_wait_too_long
+from .queue_loads import QueueLoads
 
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
     from collections.abc import Iterable
 
     from ..policy.packing import TargetCapacity
     from .job import Job
     from .open_assignments import ClaimedCapacity
+    from .open_assignments import OpenAssignments
 
 
 # Bounds the capacity that very short tasks are predicted to free.
@@ -45,12 +52,14 @@
             the entry, in seconds of the clock; capacity is then higher than known.
         shutdown_at: When the entry ends, in seconds of the clock; None if it does not
             shut down.
+        loads: Recent work of each queue.
     """
 
     jobs: list[Job] = field(default_factory=list)
     short_since: float = math.inf
     discovers_until: float = 0.0
     shutdown_at: float | None = None
+    loads: QueueLoads = field(default_factory=QueueLoads)
 
     def measure_shortage(self, now: float, startable: Iterable[Job]) -> None:
         """Records whether jobs that may start still wait after a run of the scheduler.
@@ -65,75 +74,222 @@
             self.short_since = now
 
 
-def find_refusal(
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """Why a job is refused.
+
+    Attributes:
+        error: The error that is returned to the caller.
+        reason: Kind of the reason, for counters and logs.
+        wait_s: Its predicted wait, in seconds; None if it was not predicted.
+        limit_s: Longest useful wait, in seconds.
+        share: Admitted share of its queue's recent work.
+    """
+
+    error: DispatchError
+    reason: str
+    wait_s: float | None = None
+    limit_s: float | None = None
+    share: float | None = None
+
+
+def admit_job(
     job: Job,
     targets: list[TargetCapacity],
     queue: JobQueue,
-    claimed: ClaimedCapacity,
+    assignments: OpenAssignments,
     now: float,
     rng: random.Random,
-) -> DispatchError | None:
+) -> Refusal | None:
     """Returns why a new job is refused, or None if it is accepted.
 
+    Records the job in the loads of the queues, and marks it if it is accepted as a late
+    one.
+
     Args:
         job: The job.
         targets: Targets that may run tasks of its service.
         queue: Jobs that wait at this entry.
-        claimed: Capacity that the tasks of this entry claim from the service.
+        assignments: Open assignments of this entry.
         now: Time in clock seconds.
         rng: Spreads the retry delays.
     """
     if not targets:
         text = f"service {job.queue.service} has no target in service"
-        return DispatchError(ErrorKind.NO_TARGET, text)
+        return _refuse_no_target(text)
     if not all(can_ever_run(step, targets) for step in job.spec.steps):
         text = "no target in service has the label and capacity for a task of the job"
-        return DispatchError(ErrorKind.NO_TARGET, text)
-    wait_s = _predict_wait_s(job, targets, queue, claimed, now)
+        return _refuse_no_target(text)
+    claimed = assignments.claimed[job.queue.service]
+    wait = _predict_wait(job, targets, queue, claimed, now)
     if queue.shutdown_at is not None and not can_end_before(
-        job.timing, now, wait_s, queue.shutdown_at
+        job.timing, now, wait.in_time_s, queue.shutdown_at
     ):
         text = "the entry shuts down before the job would end"
-        return DispatchError(ErrorKind.SHUTTING_DOWN, text)
-    shortage_s = now - min(now, queue.short_since)
-    if not would_wait_too_long(job.timing, now, wait_s, shortage_s):
+        kind = ErrorKind.SHUTTING_DOWN
+        return Refusal(DispatchError(kind, text), kind.value)
+    is_over_share = queue.loads.exceeds_share(job, now)
+    share = queue.loads.find_load(job, now).admitted_share
+    admission = decide_admission(job.timing, now, wait, is_over_share=is_over_share)
+    is_in_time = admission is Admission.IN_TIME
+    queue.loads.record(job, now, is_admitted=is_in_time)
+    job.is_late = admission is Admission.LATE
+    if is_in_time or job.is_late:
         return None
-    retry_ms = round(MS_PER_S * choose_retry_delay_s(wait_s, rng))
-    text = f"the job would wait about {wait_s:.3f} s for free capacity"
-    return DispatchError(ErrorKind.OVERLOADED, text, retry_ms)
+    release_s = predict_release_s(job, targets, queue, assignments, now)
+    retry_ms = round(MS_PER_S * choose_retry_delay_s(release_s, rng))
+    if admission is Admission.OVER_SHARE:
+        wait_s = wait.in_time_s
+        limit_s = job.timing.latest_start - now
+        text = (
+            f"the job would wait about {wait_s:.3f} s, but its queue had a larger share"
+            f" of its work admitted ({share:.2f}) than one of higher priority"
+        )
+    else:
+        wait_s = wait.late_s
+        limit_s = job.timing.last_useful_start - now
+        text = (
+            f"the job would wait about {wait_s:.3f} s for free capacity,"
+            f" its limit is {max(0.0, limit_s):.3f} s"
+        )
+    error = DispatchError(ErrorKind.OVERLOADED, text, retry_ms)
+    return Refusal(error, admission.value, wait_s, limit_s, share)
 
 
-def _predict_wait_s(
+def _refuse_no_target(text: str) -> Refusal:
+    kind = ErrorKind.NO_TARGET
+    return Refusal(DispatchError(kind, text), kind.value)
+
+
+def _predict_wait(
     job: Job,
     targets: list[TargetCapacity],
     queue: JobQueue,
     claimed: ClaimedCapacity,
     now: float,
-) -> float:
+) -> PredictedWait:
+    """Returns the predicted wait of a new job, in time and as a late one."""
+    shortage_s = now - min(now, queue.short_since)
     if now < queue.discovers_until:
-        return 0.0
-    rank = rank_job(job.timing, now, has_begun=False)
-    ahead = sum(
-        other.waiting_cores()
-        for other in queue.jobs
-        if other.queue.service == job.queue.service
-        and rank_job(other.timing, now, has_begun=other.has_begun) <= rank
-    )
+        return PredictedWait(0.0, 0.0, shortage_s)
+    ranks = [
+        rank_job(job.timing, now, has_begun=False, is_late=late)
+        for late in (False, True)
+    ]
+    ahead = [0.0, 0.0]
+    for other in _waiting_for(job, queue):
+        rank, cores = other.rank(now), other.waiting_cores()
+        for index in (0, 1):
+            ahead[index] += cores * (rank <= ranks[index])
     step = job.spec.steps[0]
     task_cores = step.demand.cpu_millis / MILLIS_PER_CORE
-    if not ahead or not task_cores:
+    if not any(ahead) or not task_cores:
+        return PredictedWait(0.0, 0.0, shortage_s)
+    free_cores = count_fitting_tasks(step, targets) * task_cores
+    freed = _freed_cores_per_s(job, targets, claimed)
+    loads = queue.loads.by_service[job.queue.service].values()
+    waits = [
+        predict_wait_s(
+            needed_cores=cores + job.waiting_cores(),
+            free_cores=free_cores,
+            freed_cores_per_s=rate,
+        )
+        if cores
+        else 0.0
+        for cores, rate in zip(
+            ahead, (freed, freed * late_rate_share(loads)), strict=True
+        )
+    ]
+    return PredictedWait(waits[0], waits[1], shortage_s)
+
+
+def predict_release_s(
+    job: Job,
+    targets: list[TargetCapacity],
+    queue: JobQueue,
+    assignments: OpenAssignments,
+    now: float,
+) -> float:
+    """Returns the time until all waiting jobs of a service have capacity, in seconds.
+
+    Counts the expected ends of the open assignments, since those of a burst end
+    together, and the mean rate beyond them.
+
+    Args:
+        job: Job of the service; counted too, whether it waits or not.
+        targets: Targets that may run tasks of the service.
+        queue: Jobs that wait at this entry.
+        assignments: Open assignments of this entry.
+        now: Time in clock seconds.
+    """
+    if not targets:
         return 0.0
-    return predict_wait_s(
-        needed_cores=ahead + job.waiting_cores(),
-        free_cores=count_fitting_tasks(step, targets) * task_cores,
-        freed_cores_per_s=max(
-            claimed.freed_cores_per_s, _least_freed_cores_per_s(job, targets)
-        ),
+    waiting = sum(other.waiting_cores() for other in _waiting_for(job, queue))
+    free = sum(target.free.cpu_millis for target in targets) / MILLIS_PER_CORE
+    missing = waiting + job.waiting_cores() - free
+    if missing <= 0:
+        return 0.0
+    service = job.queue.service
+    ends = sorted(
+        (max(0.0, item.sent_at + item.expected_s - now), item.demand.cpu_millis)
+        for item in assignments.by_number.values()
+        if item.job.queue.service == service
     )
+    last_end_s = 0.0
+    for end_s, cpu_millis in ends:
+        last_end_s = end_s
+        missing -= cpu_millis / MILLIS_PER_CORE
+        if missing <= 0:
+            return end_s
+    rate = _freed_cores_per_s(job, targets, assignments.claimed[service])
+    return last_end_s + missing / rate
+
+
+def make_start_check(
+    targets: list[TargetCapacity], now: float
+) -> Callable[[Job], bool]:
+    """Returns a function that decides whether a job may use free capacity.
 
+    Jobs in time may always; late ones leave a reserve.
 
-def _least_freed_cores_per_s(job: Job, targets: list[TargetCapacity]) -> float:
-    """Returns what one target frees if it runs tasks of this job only."""
+    Args:
+        targets: Targets of its service, whose free capacity falls between the calls.
+        now: Time in clock seconds.
+    """
+    capacity = sum(target.capacity.cpu_millis for target in targets)
+    free_share = math.inf
+
+    def may_start(job: Job) -> bool:
+        nonlocal free_share
+        if job.can_be_in_time(now):
+            return True
+        if may_late_job_start(job.timing, now, 0.0):
+            return True
+        if not may_late_job_start(job.timing, now, free_share):
+            return False
+        free = sum(target.free.cpu_millis for target in targets)
+        free_share = free / max(1, capacity)
+        return may_late_job_start(job.timing, now, free_share)
+
+    return may_start
+
+
+def _waiting_for(job: Job, queue: JobQueue) -> Iterable[Job]:
+    return (
+        other
+        for other in queue.jobs
+        if other is not job and other.queue.service == job.queue.service
+    )
+
+
+def _freed_cores_per_s(
+    job: Job, targets: list[TargetCapacity], claimed: ClaimedCapacity
+) -> float:
+    """Returns the processors freed per second, at least those of one target.
+
+    One target is counted as if it ran only tasks of this job.
+    """
     total = sum(target.capacity.cpu_millis for target in targets)
     mean_cores = total / len(targets) / MILLIS_PER_CORE
-    return mean_cores / max(job.timing.expected_s, MIN_RUN_S)
+    least = mean_cores / max(job.timing.expected_s, MIN_RUN_S)
+    return max(claimed.freed_cores_per_s, least)
--- a/src/jackdawkeel/scheduling/job_scheduler.py
+++ b/src/jackdawkeel/scheduling/job_scheduler.py
@@ -10,7 +10,6 @@
 from ..messages.scheduling import TaskStatus
 from ..policy.waiting import JobTiming
 from ..policy.waiting import choose_retry_delay_s
-from ..policy.waiting import rank_job
 from ..policy.waiting import would_end_too_late
 from .agent_connectivity import AgentConnectivity
 from .assignment_sender import AssignmentSender
@@ -20,7 +19,10 @@
 from .job import longest_chain_s
 from .job import make_tasks
 from .job_admission import JobQueue
-from .job_admission import find_refusal
+from .job_admission import admit_job
+from .job_admission import make_start_check
+from .job_admission import predict_release_s
+from .job_outcomes import JobOutcomes
 from .run_times import RunTimes
 
 
@@ -58,6 +60,7 @@
         queue: Jobs with tasks that wait for capacity.
         assignments: Sends assignments to agents and records the open ones.
         connectivity: Detects outages of the connection to all agents.
+        outcomes: Counts and logs how jobs end.
     """
 
     def __init__(
@@ -100,6 +103,7 @@
         self.queue = JobQueue()
         self.run_times = RunTimes()
         self.connectivity = AgentConnectivity()
+        self.outcomes = JobOutcomes(log)
         self.assignments = AssignmentSender(
             clock=clock,
             log=log,
@@ -177,25 +181,19 @@
 
     def _find_refusal(self, job: Job) -> DispatchError | None:
         service = job.queue.service
-        refusal = find_refusal(
+        refusal = admit_job(
             job,
             self.views.target_capacities(service, self.evacuated_zones()),
             self.queue,
-            self.assignments.open.claimed[service],
+            self.assignments.open,
             self.clock(),
             self.rng,
         )
-        if refusal is not None:
-            self.log.record(
-                EventName.JOB_REFUSED,
-                job=job.spec.job_id,
-                queue=job.queue.name,
-                kind=refusal.kind.value,
-                reason=refusal.message,
-                waiting_jobs=len(self.queue.jobs),
-                open_orders=len(self.assignments.open),
-            )
-        return refusal
+        if refusal is None:
+            return None
+        waiting, assigned = len(self.queue.jobs), len(self.assignments.open)
+        self.outcomes.record_refused(job, refusal, waiting, assigned)
+        return refusal.error
 
     def handle_disconnect(self, job: Job, waiter: asyncio.Future[None]) -> None:
         """Removes a disconnected caller; a job without callers is cancelled."""
@@ -242,17 +240,19 @@
             for job in self.queue.jobs
             if not job.has_ended and job.has_ready_tasks()
         ]
-        self.queue.jobs.sort(key=lambda job: _rank(job, now))
+        self.queue.jobs.sort(key=lambda job: job.rank(now))
         evacuated = self.evacuated_zones()
-        targets_by_service: dict[str, list[TargetCapacity]] = {}
+        services: dict[str, tuple[list[TargetCapacity], Callable[[Job], bool]]] = {}
         startable = [job for job in self.queue.jobs if self._may_start(job, now)]
         for job in startable:
             service = job.queue.service
-            targets = targets_by_service.get(service)
-            if targets is None:
+            if service not in services:
                 targets = self.views.target_capacities(service, evacuated)
-                targets_by_service[service] = targets
-            self.assignments.assign_ready_tasks(job, targets)
+                services[service] = targets, make_start_check(targets, now)
+            targets, may_use_capacity = services[service]
+            if may_use_capacity(job):
+                job.is_late = not job.can_be_in_time(now)
+                self.assignments.assign_ready_tasks(job, targets)
         self.queue.measure_shortage(now, startable)
 
     def _may_start(self, job: Job, now: float) -> bool:
@@ -401,18 +401,7 @@
         for waiter in job.waiters:
             if not waiter.done():
                 waiter.set_result(None)
-        took_s = self.clock() - job.timing.arrived_at
-        self.log.record(
-            EventName.JOB_ENDED,
-            job=job.spec.job_id,
-            queue=job.queue.name,
-            result=None if result is None else result.value,
-            error=None if error is None else error.kind.value,
-            took_ms=round(MS_PER_S * took_s, 1),
-            objective_ms=round(MS_PER_S * job.timing.objective_s, 1),
-            orders=sum(task.attempts for tasks in job.tasks for task in tasks),
-            stopped_orders=list(job.open_assignments),
-        )
+        self.outcomes.record_ended(job, self.clock() - job.timing.arrived_at)
 
     def _drop_old_jobs(self) -> None:
         while len(self.ended_jobs) > MAX_ENDED_JOBS:
@@ -444,11 +433,23 @@
             arrived_at = job.timing.arrived_at
             held_s = self.connectivity.earliest_start(arrived_at) - arrived_at
             if would_end_too_late(job.timing, now - held_s, 0.0):
-                retry_ms = round(MS_PER_S * choose_retry_delay_s(0.0, self.rng))
-                text = "no target had free capacity in time"
-                error = DispatchError(ErrorKind.OVERLOADED, text, retry_ms)
+                error = self._describe_late_refusal(job, now)
                 self._end(job, error=error)
 
+    def _describe_late_refusal(self, job: Job, now: float) -> DispatchError:
+        service = job.queue.service
+        targets = self.views.target_capacities(service, self.evacuated_zones())
+        release_s = predict_release_s(
+            job, targets, self.queue, self.assignments.open, now
+        )
+        retry_ms = round(MS_PER_S * choose_retry_delay_s(release_s, self.rng))
+        timing = job.timing
+        text = (
+            f"the job waited {now - timing.arrived_at:.3f} s without capacity and can't"
+            f" end within {timing.limit_at - timing.arrived_at:.3f} s"
+        )
+        return DispatchError(ErrorKind.OVERLOADED, text, retry_ms)
+
     def _end_at_deadline(self, job: Job) -> None:
         if job.has_begun:
             kind = ErrorKind.DEADLINE_EXPIRED
@@ -457,7 +458,3 @@
             kind = ErrorKind.DEADLINE_BEFORE_START
             text = "the deadline passed before any task was started"
         self._end(job, error=DispatchError(kind, text))
-
-
-def _rank(job: Job, now: float) -> tuple[bool, int, float]:
-    return rank_job(job.timing, now, has_begun=job.has_begun)
--- /dev/null
+++ b/src/jackdawkeel/scheduling/queue_loads.py
@@ -0,0 +1,60 @@
+"""Work that the queues of each service have offered to an entry recently."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from ..policy.sharing import QueueLoad
+from ..policy.sharing import exceeds_share
+
+
+if TYPE_CHECKING:
+    from .job import Job
+
+
+# Queues without recent work are removed, so that renamed queues need no memory.
+MIN_OFFERED_S = 1e-6
+
+
+@dataclass(slots=True)
+class QueueLoads:
+    """Recent work by service and queue.
+
+    Attributes:
+        by_service: Load of each queue, by service and name of the queue.
+        updated_at: When the loads of a service were last reduced, in seconds.
+    """
+
+    by_service: defaultdict[str, dict[str, QueueLoad]] = field(
+        default_factory=lambda: defaultdict(dict)
+    )
+    updated_at: dict[str, float] = field(default_factory=dict)
+
+    def find_load(self, job: Job, now: float) -> QueueLoad:
+        """Returns the load of a job's queue, reduced to the present time."""
+        service = job.queue.service
+        loads = self.by_service[service]
+        age_s = now - self.updated_at.get(service, now)
+        self.updated_at[service] = now
+        for name, load in list(loads.items()):
+            load.forget(age_s)
+            if load.offered_s < MIN_OFFERED_S:
+                del loads[name]
+        load = loads.setdefault(job.queue.name, QueueLoad(job.queue.priority))
+        load.priority = job.queue.priority
+        return load
+
+    def exceeds_share(self, job: Job, now: float) -> bool:
+        """Returns whether the queue of a new job exceeds its share."""
+        load = self.find_load(job, now)
+        return exceeds_share(load, self.by_service[job.queue.service].values())
+
+    def record(self, job: Job, now: float, *, is_admitted: bool) -> None:
+        """Adds a new job, and whether it was admitted to be in time."""
+        load = self.find_load(job, now)
+        work_s = job.work_s()
+        load.offered_s += work_s
+        load.admitted_s += work_s * is_admitted
