--- a/bench/shared_room/simulator.py
+++ b/bench/shared_room/simulator.py
@@ -8,6 +8,8 @@
 from functools import partial
 
 from bench.event_queue import EventQueue
+from bench.shared_room.orders import Order
+from bench.shared_room.orders import order_strictly
 from bench.shared_room.state import ModelAgent
 from bench.shared_room.state import ModelAssignment
 from bench.shared_room.state import ModelEntry
@@ -22,10 +24,17 @@
 from jackdawkeel.policy.reporting import MIN_CHANGE_INTERVAL_S
 from jackdawkeel.policy.reporting import choose_change_interval_s
 from jackdawkeel.policy.reporting import request_change_interval_s
+from jackdawkeel.policy.sharing import MEMORY_S
+from jackdawkeel.policy.sharing import Admission
+from jackdawkeel.policy.sharing import PredictedWait
+from jackdawkeel.policy.sharing import QueueLoad
+from jackdawkeel.policy.sharing import decide_admission
+from jackdawkeel.policy.sharing import exceeds_share
+from jackdawkeel.policy.sharing import late_rate_share
+from jackdawkeel.policy.sharing import may_late_job_start
+from jackdawkeel.policy.waiting import OVERLOAD_S
 from jackdawkeel.policy.waiting import predict_wait_s
-from jackdawkeel.policy.waiting import rank_job
 from jackdawkeel.policy.waiting import would_end_too_late
-from jackdawkeel.policy.waiting import would_wait_too_long
 from jackdawkeel.scheduling.leases import REPORT_INTERVAL_S
 from jackdawkeel.scheduling.schedule_trigger import CONTENTION_PAUSE_S
 
@@ -34,6 +43,8 @@
 TICK_INTERVAL_S = 0.05
 # An agent returns an assignment at once if it has no room.
 ASSIGNMENT_WAIT_S = 0.0
+# Objectives until which a job may end if no late ones are admitted: the earlier rule.
+EARLIER_MAX_END = 1.5
 REFUSED = float("inf")
 ALL_ENTRIES = 1000
 # Least processors that an entry counts on, one target.
@@ -56,6 +67,9 @@
         reported_entries: Number of entries that an agent reports to; all of them if
             there are fewer.
         limits_wait: Whether an entry refuses new jobs that would wait too long.
+        admits_late: Whether it admits jobs that end late, but within their limit.
+        limits_queues: Whether a queue that exceeds its share of admissions is refused.
+        order: Order of the waiting jobs of an entry under shortage.
     """
 
     notifies_all: bool = False
@@ -64,6 +78,9 @@
     agent_wait_s: float = 0.0
     reported_entries: int = ALL_ENTRIES
     limits_wait: bool = False
+    admits_late: bool = False
+    limits_queues: bool = False
+    order: Order = order_strictly
 
 
 class Simulator(EventQueue):
@@ -116,7 +133,7 @@
     def submit(self, job: ModelJob) -> None:
         """Queues a job at its entry and schedules an assignment pass."""
         job.entry.unstarted.append(job)
-        if self.strategy.limits_wait and self._would_wait_too_long(job):
+        if self.strategy.limits_wait and not self._admit(job):
             self._refuse(job)
             return
         job.entry.waiting.append(job)
@@ -125,7 +142,7 @@
     def _tick_entry(self, entry: ModelEntry) -> None:
         entry.unstarted = [job for job in entry.unstarted if not job.has_begun]
         for job in list(entry.unstarted):
-            if would_end_too_late(job.timing, self.now, 0.0):
+            if self._is_useless(job):
                 self._refuse(job)
         entry.waiting = [job for job in entry.waiting if job.ended_at != REFUSED]
         self._schedule_pass(entry)
@@ -136,27 +153,72 @@
         job.ended_at = REFUSED
         job.refused_at = self.now
 
-    def _would_wait_too_long(self, job: ModelJob) -> bool:
-        entry = job.entry
-        rank = rank_job(job.timing, self.now, has_begun=False)
-        ahead = sum(
-            _waiting_cores(other)
-            for other in entry.waiting
-            if rank_job(other.timing, self.now, has_begun=other.has_begun) < rank
+    def _is_useless(self, job: ModelJob) -> bool:
+        if self.strategy.admits_late:
+            return would_end_too_late(job.timing, self.now, 0.0)
+        end_at = self.now + job.timing.expected_s
+        return end_at > job.timing.arrived_at + EARLIER_MAX_END * job.timing.objective_s
+
+    def _admit(self, job: ModelJob) -> bool:
+        load = self._find_load(job)
+        is_over_share = self.strategy.limits_queues and exceeds_share(
+            load, job.entry.loads.values()
         )
-        if not ahead:
-            return False
-        targets = [self._view_target(entry, view) for view in entry.views.values()]
-        room = count_fitting_tasks(job.step, targets)
-        wait_s = predict_wait_s(
-            needed_cores=ahead + _waiting_cores(job),
-            free_cores=room * _cores(job),
-            freed_cores_per_s=max(
-                entry.claimed.freed_cores_per_s, MIN_CORES / job.timing.expected_s
-            ),
+        wait = self._predict_wait(job)
+        admission = decide_admission(
+            job.timing, self.now, wait, is_over_share=is_over_share
         )
-        shortage_s = self.now - min(self.now, entry.short_since)
-        return would_wait_too_long(job.timing, self.now, wait_s, shortage_s)
+        is_in_time = admission is Admission.IN_TIME
+        load.offered_s += job.work_s()
+        load.admitted_s += job.work_s() * is_in_time
+        job.is_late = admission is Admission.LATE and self.strategy.admits_late
+        return is_in_time or job.is_late
+
+    def _find_load(self, job: ModelJob) -> QueueLoad:
+        entry = job.entry
+        for load in entry.loads.values():
+            load.forget(self.now - entry.loads_at)
+        entry.loads_at = self.now
+        return entry.loads.setdefault(job.queue, QueueLoad(job.timing.priority))
+
+    def _predict_wait(self, job: ModelJob) -> PredictedWait:
+        entry = job.entry
+        targets = [self._view_target(entry, view) for view in entry.views.values()]
+        free_cores = count_fitting_tasks(job.step, targets) * _cores(job)
+        freed = max(entry.claimed.freed_cores_per_s, MIN_CORES / job.timing.expected_s)
+        waits = []
+        for job.is_late, rate in (
+            (False, freed),
+            (True, freed * late_rate_share(entry.loads.values())),
+        ):
+            ordered = self._order(entry, [*entry.waiting, job])
+            ahead = sum(
+                other.waiting_cores() for other in ordered[: ordered.index(job)]
+            )
+            waits.append(
+                predict_wait_s(
+                    needed_cores=ahead + job.waiting_cores(),
+                    free_cores=free_cores,
+                    freed_cores_per_s=rate,
+                )
+                if ahead
+                else 0.0
+            )
+        return PredictedWait(waits[0], waits[1], self._shortage_s(entry))
+
+    def _shortage_s(self, entry: ModelEntry) -> float:
+        return self.now - min(self.now, entry.short_since)
+
+    def _order(self, entry: ModelEntry, jobs: list[ModelJob]) -> list[ModelJob]:
+        is_short = self._shortage_s(entry) >= OVERLOAD_S
+        order = self.strategy.order if is_short else order_strictly
+        return order(jobs, entry.used_s, self.now)
+
+    def _forget_use(self, entry: ModelEntry) -> None:
+        kept = math.exp(-(self.now - entry.used_at) / MEMORY_S)
+        for queue, used_s in entry.used_s.items():
+            entry.used_s[queue] = used_s * kept
+        entry.used_at = self.now
 
     def _schedule_pass(self, entry: ModelEntry) -> None:
         if entry.waiting and not entry.is_pass_scheduled:
@@ -167,15 +229,22 @@
     def _run_pass(self, entry: ModelEntry) -> None:
         entry.is_pass_scheduled = False
         entry.last_pass_at = self.now
-        entry.waiting.sort(
-            key=lambda job: rank_job(job.timing, self.now, has_begun=job.has_begun)
-        )
+        self._forget_use(entry)
+        entry.waiting = self._order(entry, entry.waiting)
         targets = [self._view_target(entry, view) for view in entry.views.values()]
         for job in entry.waiting:
+            is_late = self.strategy.admits_late and job.rank(self.now)[0]
+            if is_late and not may_late_job_start(
+                job.timing, self.now, _free_share(targets)
+            ):
+                continue
             limit = RunTimeLimit(job.timing.max_slowdown(self.now), REMOTE_PENALTY)
             names = place_tasks(job.step, len(job.ready), targets, limit).names
+            used_s = len(names) * _cores(job) * job.timing.expected_s
+            entry.used_s[job.queue] = entry.used_s.get(job.queue, 0.0) + used_s
             for name in names:
                 job.has_begun = True
+                job.is_late = is_late
                 self._assign(job, entry.views[name], ASSIGNMENT_WAIT_S)
             if self.strategy.max_waiting_per_agent and job.ready:
                 self._assign_to_wait(job, entry)
@@ -278,7 +347,7 @@
     def _rank_assignment(self, assignment: ModelAssignment) -> tuple[bool, int, float]:
         job = assignment.job
         if self.strategy.max_waiting_per_agent:
-            return rank_job(job.timing, self.now, has_begun=job.has_begun)
+            return job.rank(self.now)
         return (False, job.timing.priority, assignment.arrived_at)
 
     def _return_assignment(self, assignment: ModelAssignment) -> None:
@@ -336,8 +405,9 @@
     return job.step.demand.cpu_millis / 1000
 
 
-def _waiting_cores(job: ModelJob) -> float:
-    return len(job.ready) * _cores(job)
+def _free_share(targets: list[TargetCapacity]) -> float:
+    capacity = sum(target.capacity.cpu_millis for target in targets)
+    return sum(target.free.cpu_millis for target in targets) / capacity
 
 
 def _claim(job: ModelJob, sign: int) -> None:
--- a/bench/shared_room/state.py
+++ b/bench/shared_room/state.py
@@ -7,10 +7,12 @@
 from dataclasses import field
 from typing import TYPE_CHECKING
 
+from jackdawkeel.policy.waiting import rank_job
 from jackdawkeel.scheduling.open_assignments import ClaimedCapacity
 
 
 if TYPE_CHECKING:
+    from jackdawkeel.policy.sharing import QueueLoad
     from jackdawkeel.policy.waiting import JobTiming
     from jackdawkeel.scheduling.resources import Resources
     from jackdawkeel.scheduling.specification import StepSpec
@@ -32,6 +34,9 @@
         ended_at: Time at which the entry received the last result, in seconds; 0 while
             the job is open, infinity if it was refused.
         refused_at: Time at which it was refused, in seconds; 0 if it was not.
+        queue: Name of its queue.
+        width: Its number of tasks, divided by the mean of its queue.
+        is_late: Whether it was admitted, or has begun, as a late job.
     """
 
     entry: ModelEntry
@@ -43,6 +48,23 @@
     has_begun: bool = False
     ended_at: float = 0.0
     refused_at: float = 0.0
+    queue: str = ""
+    width: float = 1.0
+    is_late: bool = False
+
+    def rank(self, now: float) -> tuple[bool, int, float]:
+        """Returns its sort key among waiting jobs."""
+        return rank_job(
+            self.timing, now, has_begun=self.has_begun, is_late=self.is_late
+        )
+
+    def waiting_cores(self) -> float:
+        """Returns the processors that its tasks without assignment claim."""
+        return len(self.ready) * self.step.demand.cpu_millis / 1000
+
+    def work_s(self) -> float:
+        """Returns the expected core-seconds of these tasks."""
+        return self.waiting_cores() * self.timing.expected_s
 
 
 @dataclass(slots=True, eq=False)
@@ -97,6 +119,10 @@
         waiting: Jobs with tasks that have no assignment.
         unstarted: Jobs that have not begun; those that have are removed at each tick.
         claimed: Capacity that its running tasks claim.
+        used_s: Capacity that its queues used recently, in core-seconds.
+        used_at: When that was last reduced, in seconds.
+        loads: Recent work of its queues.
+        loads_at: When that was last reduced, in seconds.
         short_since: Since when jobs have been waiting without a break, in seconds.
         last_pass_at: Time of the last assignment pass in seconds.
         is_pass_scheduled: Whether an assignment pass is scheduled.
@@ -109,6 +135,10 @@
     waiting: list[ModelJob] = field(default_factory=list)
     unstarted: list[ModelJob] = field(default_factory=list)
     claimed: ClaimedCapacity = field(default_factory=ClaimedCapacity)
+    used_s: dict[str, float] = field(default_factory=dict)
+    used_at: float = 0.0
+    loads: dict[str, QueueLoad] = field(default_factory=dict)
+    loads_at: float = 0.0
     short_since: float = math.inf
     last_pass_at: float = -1.0
     is_pass_scheduled: bool = False
