--- a/src/jackdawkeel/policy/sharing.py
+++ b/src/jackdawkeel/policy/sharing.py
@@ -31,9 +31,8 @@
 # A queue limits others only if it offers at least this part of all work, so that a
 # single refused wide job does not.
 MIN_OFFERED_SHARE = 0.05
-# Difference of admitted shares from which a queue is limited. Below 0.1, jobs of queues
-# with little slack limit the others in short bursts that could serve all; with 0.2 the
-# worst queue is served worse.
+# Difference of admitted shares from which a queue is limited. In the models, 0.1 has
+# fewer answers at 1.1 times the capacity, and 0.2 serves the worst queue worse.
 SHARE_TOLERANCE = 0.15
 # Part of the freed capacity that late jobs are predicted to get if all work is
 # admitted; it falls with this power of the admitted share. In the model, 0.5 and a
@@ -41,7 +40,7 @@
 LATE_RATE_SHARE = 0.25
 LATE_RATE_EXPONENT = 2
 # Part of the capacity that late jobs leave free for jobs in time that arrive next.
-# Without it, late jobs cost more answers in time than they add late ones.
+# Without it, fewer jobs are in time in the model, and the worth is lower.
 LATE_RESERVE_SHARE = 0.05
 # A late job may use this reserve shortly before it would be refused, so that none is
 # refused while a target has free capacity; two runs of the entry's tick.
@@ -134,8 +133,8 @@
 ) -> Admission:
     """Decides whether a new job is admitted to be in time, late, or not at all.
 
-    A job above the share of its queue is not admitted as a late one instead: in the
-    model, this cost more answers in time than it added late ones.
+    A job above the share of its queue is not admitted as a late one instead: fewer jobs
+    were in time then in the model.
 
     Args:
         timing: Times and priority of the job.
