--- a/src/jackdawkeel/metrics.py
+++ b/src/jackdawkeel/metrics.py
@@ -40,6 +40,9 @@
     TASKS = "tasks"
     TASK_STOPS = "task_stops"
     TASKS_HELD = "tasks_held"
+    JOBS_IN_TIME = "jobs_in_time"
+    JOBS_LATE = "jobs_late"
+    JOBS_REFUSED = "jobs_refused"
 
 
 class GaugeName(StrEnum):
@@ -85,6 +88,9 @@
     CounterName.TASKS: Description("Tasks that ended.", "state"),
     CounterName.TASK_STOPS: Description("Runs that an agent stopped.", "cause"),
     CounterName.TASKS_HELD: Description("Tasks held for a fast target.", "queue"),
+    CounterName.JOBS_IN_TIME: Description("Jobs answered in time.", "queue"),
+    CounterName.JOBS_LATE: Description("Jobs answered late.", "queue"),
+    CounterName.JOBS_REFUSED: Description("Jobs refused.", "queue_and_reason"),
     GaugeName.AGENTS: Description("Agents that are heard.", "state"),
     GaugeName.ENTRIES: Description("Entries that are heard.", "state"),
     GaugeName.JOBS: Description("Jobs that have not ended.", "state"),
--- a/src/jackdawkeel/scheduling/entry_node.py
+++ b/src/jackdawkeel/scheduling/entry_node.py
@@ -287,6 +287,7 @@
         count_messages(metrics, self.node)
         held = self.scheduler.assignments.held_total
         metrics.replace_counts(CounterName.TASKS_HELD, held)
+        self.scheduler.outcomes.export(metrics)
         body = metrics.render_text().encode()
         return HttpResponse(200, body, TEXT_TYPE)
 
