--- a/src/jackdawkeel/scheduling/job_scheduler.py
+++ b/src/jackdawkeel/scheduling/job_scheduler.py
@@ -38,7 +38,6 @@
     from ..messages import PeerAddress
     from ..messages.scheduling import AgentReport
     from ..messages.scheduling import TaskUpdate
-    from ..policy.packing import TargetCapacity
     from .agent_views import AgentView
     from .agent_views import AgentViews
     from .job import OpenAssignment
