--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -30,6 +30,8 @@
 MAX_ATTEMPTS = 4
 REFUSED_STATUS = 503
 DEADLINE_MS = 6000
+# Half of the jobs have their data in one rack.
+DATA_FIELDS = {1: {"affinity": "rack-0"}}
 # Time that a caller waits for an answer after the deadline of its job.
 DEADLINE_SLACK_S = 2.0
 MS_PER_S = 1000
@@ -206,6 +208,7 @@
                 estimate_ms=self.estimate_ms,
                 deadline_ms=DEADLINE_MS,
                 http=pool,
+                **DATA_FIELDS.get(int(job.job_id, 16) % 2, {}),
             )
             status = answer.status
             state = answer.json().get("state", "")
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 from subprocess import TimeoutExpired
+from threading import Timer
 from typing import TYPE_CHECKING
 
 from tests.standins.proxy import NO_FAULT
@@ -37,6 +38,8 @@
 TERMINATION_GRACE_S = 6.0
 MAX_LINK_DELAY_S = 0.1
 ALL_ENTRIES_PROBABILITY = 0.5
+# Notice of targets that are reclaimed, in seconds.
+SHORT_NOTICE_RANGE_S = (1.7, 2.2)
 CLOCK_RATE_RANGE = (0.97, 1.03)
 STORE = "store"
 SILENT_CONNECTIONS = "silent connections"
@@ -367,6 +370,29 @@
     return end
 
 
+def reclaim_target(disruptions: Disruptions, rng: random.Random) -> EndFault:
+    """Makes a target announce its end at short notice, and ends its runs then.
+
+    If the fault ends first, the notice is withdrawn.
+    """
+    target = rng.choice(disruptions.fleet.agents).target
+    if target.state == "draining":
+        return do_nothing
+    notice_s = rng.uniform(*SHORT_NOTICE_RANGE_S)
+    target.state = "draining"
+    target.ends_at = time.monotonic() + notice_s
+    reclaim = Timer(notice_s, target.crash)
+    reclaim.start()
+
+    def end() -> None:
+        reclaim.cancel()
+        reclaim.join()
+        target.ends_at = None
+        target.state = "ready"
+
+    return end
+
+
 def evacuate_zone(disruptions: Disruptions, rng: random.Random) -> EndFault:
     """Evacuates the availability zone of a random agent."""
     index = rng.randrange(len(disruptions.fleet.agents))
@@ -405,6 +431,7 @@
     "harm_target": degrade_target,
     "crash_target": crash_target,
     "drain_target": drain_target,
+    "reclaim_target": reclaim_target,
     "evacuate_zone": evacuate_zone,
     "change_configuration": change_configuration,
     "pause_many": pause_many,
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -36,6 +36,9 @@
 # Used on a machine with other load, where the time until the recovery says little.
 UNTIMED_RECOVERY_TIMEOUT_S = 60.0
 
+# Run time of a task on a third of the targets, divided by that on the others.
+SLOW_KIND_FACTOR = 2.0
+
 
 @dataclass(frozen=True, slots=True)
 class PlannedFault:
@@ -120,8 +123,13 @@
             PlatformFleet(size.entries, size.agents, proxied=True)
         )
         run_s = random.Random(seed).choice(TASK_RUN_TIMES_S)
-        for agent in fleet.agents:
-            agent.target.faults.run_s = run_s
+        for index, agent in enumerate(fleet.agents):
+            is_slow = index % 3 == 2
+            agent.target.identity.labels = [
+                "slow" if is_slow else "fast",
+                f"rack-{index // 2}",
+            ]
+            agent.target.faults.run_s = SLOW_KIND_FACTOR * run_s if is_slow else run_s
         disruptions = Disruptions(fleet)
         callers = SoakCallers(disruptions, seed, size.callers, run_s, leaving_share)
         checker = SoakChecker(fleet, callers, disruptions, checks_time_bounds)
--- a/tests/standins/platform_fleet.py
+++ b/tests/standins/platform_fleet.py
@@ -185,9 +185,15 @@
         estimate_ms: int = 100,
         deadline_ms: int = DEADLINE_MS,
         http: urllib3.PoolManager | None = None,
+        **step_fields: Any,
     ) -> urllib3.BaseHTTPResponse:
         """Submits a job with one step and waits for its answer."""
-        step = {"count": count, "cpu": 1000, "memMb": 64, "estimateMs": estimate_ms}
+        step = step_fields | {
+            "count": count,
+            "cpu": 1000,
+            "memMb": 64,
+            "estimateMs": estimate_ms,
+        }
         body = {"spec": "text", "bestEffort": True, "steps": [step]}
         return (http or self.http).request(
             "POST",
