--- a/src/jackdawkeel/controllers/dispatch.py
+++ b/src/jackdawkeel/controllers/dispatch.py
@@ -67,7 +67,7 @@
         log: EventLog,
         peers: PeerController,
         send: Callable[[PeerAddress, Message], None],
-        redial: Callable[[str], None],
+        redial: Callable[[str], object],
         finish: Callable[[str, Answer], None],
     ) -> None:
         """Creates a controller without jobs.
--- a/src/jackdawkeel/controllers/failure_detector.py
+++ b/src/jackdawkeel/controllers/failure_detector.py
@@ -34,7 +34,7 @@
         self,
         *,
         send: Callable[[PeerAddress, Message], None],
-        redial: Callable[[str], None],
+        redial: Callable[[str], object],
         find_oldest_open: Callable[[Peer], int],
     ) -> None:
         """Creates a failure detector.
--- a/src/jackdawkeel/entry/job_forwarder.py
+++ b/src/jackdawkeel/entry/job_forwarder.py
@@ -78,7 +78,7 @@
         *,
         clock: Clock,
         send: Callable[[PeerAddress, Message], None],
-        redial: Callable[[str], None],
+        redial: Callable[[str], object],
         adjust_forwarded: Callable[[str, int], None],
     ) -> None:
         """Creates a forwarder without pending calls.
--- a/src/jackdawkeel/entry/other_entries.py
+++ b/src/jackdawkeel/entry/other_entries.py
@@ -55,7 +55,7 @@
         quotas: QuotaState,
         known_keys: KnownKeysController,
         send: Callable[[PeerAddress, Message], None],
-        redial: Callable[[str], None],
+        redial: Callable[[str], object],
         apply: Callable[[int, bytes], None],
     ) -> None:
         """Creates the tracker without any known entry.
--- a/src/jackdawkeel/link/nng.py
+++ b/src/jackdawkeel/link/nng.py
@@ -34,7 +34,7 @@
         self,
         address: str,
         receive: Callable[[bytes], None],
-        _reject: Callable[[str, str], None],
+        _reject: Callable[[str, str, str], None],
     ) -> None:
         """Listens on a link address.
 
--- a/src/jackdawkeel/link/node.py
+++ b/src/jackdawkeel/link/node.py
@@ -23,6 +23,7 @@
 from ..messages import Message
 from ..messages import PeerAddress
 from ..messages import WrongRecipient
+from .address import is_link_address
 
 
 if TYPE_CHECKING:
@@ -40,9 +41,9 @@
 # Batches that encode to more are split, at most down to single messages.
 ENVELOPE_SPLIT_BYTES = 1024 * 1024
 REDIAL_INTERVAL_S = 0.2
-# Pause between two redials of a silent peer. It doubles until a message of the peer
-# arrives: under high load, connections that are replaced too early never come up, and
-# the redials of all processes keep the load high.
+# Pause between two redials of a silent peer. On the platform it doubles until a message
+# of the peer arrives: under high load, connections that are replaced too early never
+# come up, and the redials of all processes keep the load high.
 MIN_REDIAL_PAUSE_S = 0.4
 MAX_REDIAL_PAUSE_S = 3.0
 REDIAL_JITTER = 0.25
@@ -72,7 +73,8 @@
         dialled_at: When the connection was opened, in seconds of the clock.
         last_used_at: When an envelope was last sent, in seconds of the clock.
         redial_pause_s: Pause after the next redial.
-        next_redial_at: Earliest time of the next redial, in seconds of the clock.
+        next_redial_at: Earliest time of the next redial, in seconds of the clock; 0
+            after a message of the peer.
         is_retry_planned: Whether sending is tried again soon, because the connection
             accepted no more envelopes.
     """
@@ -101,6 +103,7 @@
         log: EventLog,
         transport: Transport,
         deliver: Callable[[PeerAddress, Message], None],
+        max_redial_pause_s: float = MIN_REDIAL_PAUSE_S,
     ) -> None:
         """Creates the node; entering the context opens the listening socket.
 
@@ -114,7 +117,10 @@
             transport: Sockets of the links; the same at all peers.
             deliver: Called on the event loop with the sender of a message and the
                 message.
+            max_redial_pause_s: Longest pause between two redials of a silent peer, in
+                seconds.
         """
+        self.max_redial_pause_s = max_redial_pause_s
         self.listen = listen
         self.address = address
         self.clock = clock
@@ -146,6 +152,8 @@
         for link in self.links.values():
             if link.connection is not None:
                 link.connection.close()
+                link.connection = None
+            link.batches.clear()
         self.listener.close()
 
     def send(self, recipient: PeerAddress, message: Message) -> None:
@@ -158,6 +166,10 @@
         if recipient.incarnation == self.address.incarnation:
             self.loop.call_soon(self._deliver_guarded, self.address, message)
             return
+        if not is_link_address(recipient.link):
+            # It comes from a message or the store.
+            self._record_dropped("invalid_address", recipient.link)
+            return
         key = (recipient.link, recipient.incarnation)
         self.unsent_messages.setdefault(key, []).append(message)
         self.sent[type(message).__name__] += 1
@@ -165,21 +177,25 @@
             self.flush_scheduled = True
             self.loop.call_soon(self._flush)
 
-    def redial(self, destination: str) -> None:
+    def redial(self, destination: str) -> bool:
         """Replaces the connection and asks the peer to replace its own.
 
         Does nothing if the connection was opened within ``REDIAL_INTERVAL_S``, or
-        during the pause after an earlier redial that the peer has not answered.
+        during the pause after an earlier redial that the peer has not answered; returns
+        whether it was replaced.
         """
+        if not is_link_address(destination):
+            return False
         link = self._find_link(destination)
         now = self.clock()
         if now < max(link.next_redial_at, link.dialled_at + REDIAL_INTERVAL_S):
-            return
+            return False
         link.next_redial_at = now + add_jitter(link.redial_pause_s, REDIAL_JITTER)
-        link.redial_pause_s = min(2 * link.redial_pause_s, MAX_REDIAL_PAUSE_S)
+        link.redial_pause_s = min(2 * link.redial_pause_s, self.max_redial_pause_s)
         self._dial(link)
         link.request_redial = True
         self.log.record(EventName.LINK_REDIALED, peer=destination, session=link.session)
+        return True
 
     def close_idle_links(self) -> None:
         """Closes connections that sent nothing for ``IDLE_LINK_TIMEOUT_S``."""
--- a/src/jackdawkeel/link/stream.py
+++ b/src/jackdawkeel/link/stream.py
@@ -12,6 +12,7 @@
 from typing import Self
 
 from ..errors import StartError
+from .address import split_link_address
 from .limits import MAX_ENVELOPE_BYTES
 from .limits import RECONNECT_MAX_MS
 from .limits import RECONNECT_MIN_MS
@@ -38,12 +39,6 @@
 MS_PER_S = 1000
 
 
-def split_link_address(address: str) -> tuple[str, int]:
-    """Returns the IP and the port of a link address ``tcp://IP:PORT``."""
-    host, _, port = address.removeprefix("tcp://").rpartition(":")
-    return host, int(port)
-
-
 class StreamListener:
     """Accepts connections and passes on the envelopes that arrive on them.
 
@@ -57,15 +52,15 @@
         self,
         address: str,
         receive: Callable[[bytes], None],
-        reject: Callable[[str, str], None],
+        reject: Callable[[str, str, str], None],
     ) -> None:
         """Listens on a link address.
 
         Args:
             address: Link address.
             receive: Called with each envelope.
-            reject: Called with the reason and the peer if a connection is closed
-                because its data is invalid.
+            reject: Called with the reason, the peer and details if a connection can't
+                be accepted, or is closed because its data is invalid.
 
         Raises:
             StartError: If the address can't be listened on.
@@ -117,7 +112,7 @@
             return
         except OSError as error:
             # Without a free descriptor the socket stays readable.
-            self.reject(f"accept failed: {error}", "")
+            self.reject("accept_failed", "", str(error))
             self.loop.remove_reader(self.socket)
             self.loop.call_later(ACCEPT_RETRY_DELAY_S, self._resume)
             return
@@ -188,7 +183,7 @@
         peer = self.transport.get_extra_info("peername")
         self.partial.clear()
         self.transport.abort()
-        self.listener.reject(f"frame of {length} bytes", f"{peer[0]}:{peer[1]}")
+        self.listener.reject("oversized", str(peer), f"frame of {length} bytes")
 
 
 class StreamConnection(asyncio.Protocol):
@@ -217,7 +212,7 @@
         self.is_lost = False
         self.is_closed = False
         self.connecting = asyncio.get_running_loop().create_task(
-            self._connect(source_ip, *split_link_address(destination))
+            self._connect(source_ip, destination)
         )
 
     def __enter__(self) -> Self:
@@ -226,8 +221,9 @@
     def __exit__(self, *_: object) -> None:
         self.close()
 
-    async def _connect(self, source_ip: str, host: str, port: int) -> None:
+    async def _connect(self, source_ip: str, destination: str) -> None:
         loop = asyncio.get_running_loop()
+        host, port = split_link_address(destination)
         pause_ms = RECONNECT_MIN_MS
         while True:
             try:
@@ -268,7 +264,8 @@
                 return False
             self.unsent.append(frame)
             return True
-        if self.transport.get_write_buffer_size() > MAX_WRITE_BUFFER_BYTES:
+        is_full = self.transport.get_write_buffer_size() > MAX_WRITE_BUFFER_BYTES
+        if is_full or self.transport.is_closing():
             return False
         self.transport.write(frame)
         return True
--- a/src/jackdawkeel/policy/departure.py
+++ b/src/jackdawkeel/policy/departure.py
@@ -27,9 +27,10 @@
 # Part of the remaining time that can't be used: the transmission of the notice, and
 # the listing that shows the end of a run, which takes a call of 0.1 s.
 REPORT_DELAY_S = 0.15
-# A run with this much of its work done is kept: the projected end is uncertain, and
-# repeating all of its work costs more than the rest can.
+# A run with this much of its work done is kept if its projected end is at most this
+# much too late: the projection is uncertain, and all of its work would be repeated.
 NEARLY_DONE_PERCENT = 90.0
+MAX_NEARLY_DONE_EXCESS_S = 0.3
 # With less progress the projected run time depends on the rounding of the percentage.
 MIN_PERCENT = 5.0
 
@@ -54,13 +55,15 @@
         remaining_s: Time until its target ends, in seconds.
 
     Returns:
-        True if it can't end in the remaining time. False if most of its work is done,
-        if nothing is known about its run time, or if the target ends before a stop
-        would take effect.
+        True if it can't end in the remaining time. False if it nearly ends in time, if
+        nothing is known about its run time, or if the target ends before a stop would
+        take effect.
     """
     usable_s = remaining_s - REPORT_DELAY_S
-    if usable_s <= 0 or progress.percent >= NEARLY_DONE_PERCENT:
+    if usable_s <= 0:
         return False
     if progress.age_s >= MIN_AGE_S and progress.percent >= MIN_PERCENT:
-        return project_run_s(progress) - progress.age_s > usable_s
+        excess_s = project_run_s(progress) - progress.age_s - usable_s
+        is_nearly_done = progress.percent >= NEARLY_DONE_PERCENT
+        return excess_s > (MAX_NEARLY_DONE_EXCESS_S if is_nearly_done else 0.0)
     return progress.expected_s - max(0.0, progress.age_s) > usable_s
--- a/src/jackdawkeel/policy/packing.py
+++ b/src/jackdawkeel/policy/packing.py
@@ -29,6 +29,7 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
     from collections.abc import Mapping
 
@@ -94,11 +95,14 @@
         remote_slowdown: Run time outside the rack of a task's data, divided by that
             within it.
         may_wait: Whether tasks wait for a full target if they end in time only there.
+        predict_release: Returns when a full target may have capacity at the earliest,
+            in expected run times from now.
     """
 
     max_slowdown: float = math.inf
     remote_slowdown: float = 1.0
     may_wait: bool = True
+    predict_release: Callable[[TargetCapacity], float] = lambda _target: 0.0
 
 
 NO_LIMIT = RunTimeLimit()
@@ -124,7 +128,10 @@
     """
     usable = [target for target in targets if _is_usable(step, target)]
     placement = Placement()
-    if not usable:
+    fitting = [
+        index for index, target in enumerate(usable) if _has_capacity(step, target)
+    ]
+    if not fitting:
         return placement
     kinds_differ = do_kinds_differ(usable)
     prefers_rack = bool(step.preferred_rack) and limit.remote_slowdown > 1
@@ -136,11 +143,7 @@
     rank = make_rank(
         step, limit, is_reserved, is_uneven=is_uneven, saves_fast=saves_fast
     )
-    ranked = [
-        (rank(target), index)
-        for index, target in enumerate(usable)
-        if _has_capacity(step, target)
-    ]
+    ranked = [(rank(usable[index]), index) for index in fitting]
     heapq.heapify(ranked)
     may_wait = limit.may_wait and is_uneven
     while ranked and len(placement.targets) < count:
@@ -203,5 +206,5 @@
         not target.is_avoided
         and not target.free.can_fit(step.demand)
         and target.capacity.can_fit(step.demand)
-        and is_in_time(step, target, limit)
+        and is_in_time(step, target, limit, limit.predict_release(target))
     )
--- a/src/jackdawkeel/policy/sharing.py
+++ b/src/jackdawkeel/policy/sharing.py
@@ -39,6 +39,8 @@
 # power of 3 have more answers, but twice as many refusals of jobs that have waited.
 LATE_RATE_SHARE = 0.25
 LATE_RATE_EXPONENT = 2
+# Least part, so that a wait is predicted however little work is admitted.
+MIN_LATE_RATE_SHARE = 0.01
 # Part of the capacity that late jobs leave free for jobs in time that arrive next.
 # Without it, fewer jobs are in time in the model, and the worth is lower.
 LATE_RESERVE_SHARE = 0.05
@@ -110,7 +112,7 @@
     if offered_s <= 0:
         return LATE_RATE_SHARE
     admitted = sum(load.admitted_s for load in known) / offered_s
-    return LATE_RATE_SHARE * admitted**LATE_RATE_EXPONENT
+    return max(MIN_LATE_RATE_SHARE, LATE_RATE_SHARE * admitted**LATE_RATE_EXPONENT)
 
 
 @dataclass(frozen=True, slots=True)
@@ -143,7 +145,8 @@
         is_over_share: Whether its queue exceeds its share.
     """
     if not would_wait_too_long(timing, now, wait.in_time_s, wait.shortage_s):
-        is_refused = is_over_share and wait.shortage_s >= OVERLOAD_S
+        is_short = wait.in_time_s > 0 and wait.shortage_s >= OVERLOAD_S
+        is_refused = is_over_share and is_short
         return Admission.OVER_SHARE if is_refused else Admission.IN_TIME
     if would_end_too_late(timing, now, wait.late_s):
         return Admission.PREDICTED_WAIT
--- a/src/jackdawkeel/policy/suspects.py
+++ b/src/jackdawkeel/policy/suspects.py
@@ -25,6 +25,8 @@
 FAILURE_MULTIPLE = 3.0
 # Multiple of the median slowness from which a target is excluded.
 SLOW_MULTIPLE = 3.0
+# The median of fewer targets may be that of a slow one.
+MIN_GROUP_SIZE = 3
 # At most one in this many targets is excluded, so that the others can carry the load.
 MAX_EXCLUDED_DIVISOR = 3
 
@@ -56,7 +58,11 @@
     groups: dict[str, list[float]] = {}
     for target in targets:
         groups.setdefault(target.group, []).append(target.slowness)
-    medians = {group: median_high(values) for group, values in groups.items()}
+    overall = median_high([target.slowness for target in targets])
+    medians = {
+        group: median_high(values) if len(values) >= MIN_GROUP_SIZE else overall
+        for group, values in groups.items()
+    }
     scores = {
         target.name: _score_slowness(target.slowness, medians[target.group])
         for target in targets
--- a/src/jackdawkeel/policy/target_rank.py
+++ b/src/jackdawkeel/policy/target_rank.py
@@ -63,10 +63,19 @@
     return bool(step.preferred_rack) and step.preferred_rack in target.labels
 
 
-def is_in_time(step: StepSpec, target: TargetCapacity, limit: RunTimeLimit) -> bool:
-    """Returns whether a task that starts now on a target is likely to end in time."""
+def is_in_time(
+    step: StepSpec, target: TargetCapacity, limit: RunTimeLimit, delay: float = 0.0
+) -> bool:
+    """Returns whether a task that starts on a target is likely to end in time.
+
+    Args:
+        step: The step of the task.
+        target: The target.
+        limit: How long the task may take.
+        delay: When it starts, in expected run times from now.
+    """
     slowdown = predict_slowdown(step, target, limit.remote_slowdown)
-    return slowdown * RUN_TIME_SPREAD <= limit.max_slowdown
+    return delay + slowdown * RUN_TIME_SPREAD <= limit.max_slowdown
 
 
 def do_kinds_differ(targets: Iterable[TargetCapacity]) -> bool:
--- a/src/jackdawkeel/policy/waiting.py
+++ b/src/jackdawkeel/policy/waiting.py
@@ -88,7 +88,8 @@
     """Returns whether a job is served with those that can meet their objective.
 
     A job that has begun in time does not become late: its answer needs all its
-    tasks, and the work already done for it would be lost.
+    tasks, and the work already done for it would be lost. One that has begun late is
+    finished like these once it is about to lose its use.
 
     Args:
         timing: Times and priority of the job.
@@ -96,7 +97,9 @@
         has_begun: Whether any of its tasks may have run.
         is_late: Whether it was admitted, or has begun, as a late job.
     """
-    return not is_late and (has_begun or now <= timing.latest_start)
+    if has_begun:
+        return not is_late or now >= timing.last_useful_start
+    return not is_late and now <= timing.latest_start
 
 
 def rank_job(
--- a/src/jackdawkeel/scheduling/agent_node.py
+++ b/src/jackdawkeel/scheduling/agent_node.py
@@ -11,6 +11,7 @@
 from ..http_messages import TEXT_TYPE
 from ..http_messages import HttpResponse
 from ..link.message_counts import count_messages
+from ..link.node import MAX_REDIAL_PAUSE_S
 from ..link.node import LinkNode
 from ..link.stream import STREAM_TRANSPORT
 from ..messages import PeerAddress
@@ -20,6 +21,7 @@
 from ..messages.scheduling import StopTasks
 from ..metrics import CounterName
 from ..metrics import Metrics
+from ..periodic import run_periodically
 from ..process_signals import handle_stop_signals
 from ..process_signals import log_reload_signals
 from ..setting_values import Address
@@ -47,6 +49,7 @@
 
 
 TICK_INTERVAL_S = 0.05
+IDLE_LINK_CHECK_INTERVAL_S = 5.0
 # Part of the shutdown time that is reserved for the last reports and the exit.
 EXIT_MARGIN_S = 1.0
 LAST_REPORT_S = 0.3
@@ -97,6 +100,7 @@
             log=log,
             transport=STREAM_TRANSPORT,
             deliver=self.deliver,
+            max_redial_pause_s=MAX_REDIAL_PAUSE_S,
         )
         self.reports = AgentReports(
             settings=settings,
@@ -186,7 +190,7 @@
         if was_accepting and self.target.find_refusal(self.clock()) is not None:
             # Entries must not assign tasks to a draining target, and runs that can't
             # end there in time lose time until the next tick.
-            self.tick()
+            self._tick_guarded()
         return HttpResponse(200, b"{}")
 
     def _answer_metrics(self) -> HttpResponse:
@@ -224,6 +228,11 @@
             for server in servers:
                 server.start()
             self._tick_forever()
+            idle_links = asyncio.create_task(
+                run_periodically(
+                    IDLE_LINK_CHECK_INTERVAL_S, self.node.close_idle_links, self.log
+                )
+            )
             self.log.record(EventName.READY, listen=heartbeats.port)
             await self.stopped.wait()
             await self._drain()
@@ -231,10 +240,14 @@
             for server in servers:
                 await self.loop.run_in_executor(None, server.stop)
             self.next_tick.cancel()
+            idle_links.cancel()
 
     def _tick_forever(self) -> None:
         # A coroutine that sleeps takes two iterations of the event loop for each tick.
         self.next_tick = self.loop.call_later(TICK_INTERVAL_S, self._tick_forever)
+        self._tick_guarded()
+
+    def _tick_guarded(self) -> None:
         try:
             self.tick()
         except Exception:
--- a/src/jackdawkeel/scheduling/agent_reports.py
+++ b/src/jackdawkeel/scheduling/agent_reports.py
@@ -102,7 +102,7 @@
         target: TargetState,
         executor: TaskExecutor,
         send: Callable[[PeerAddress, Message], None],
-        redial: Callable[[str], None],
+        redial: Callable[[str], bool],
         reported_entries: int,
     ) -> None:
         """Creates the reports of an agent that knows no entry yet.
@@ -113,7 +113,8 @@
             target: The agent's knowledge about its target.
             executor: The assignments that it runs.
             send: Sends a message to a process.
-            redial: Replaces the connection to a link address.
+            redial: Replaces the connection to a link address, unless that was done
+                shortly before; returns whether it did.
             reported_entries: Number of entries to report to.
         """
         self.settings = settings
@@ -221,9 +222,10 @@
     def _replace_silent_link(self, contact: EntryContact, now: float) -> None:
         silent_s = contact.measure_silence_s(now)
         wait_s = max(LINK_SILENCE_TIMEOUT_S, REDIAL_SILENCE_FRACTION * silent_s)
-        if silent_s > LINK_SILENCE_TIMEOUT_S and now > contact.redialled_at + wait_s:
+        is_due = now > contact.redialled_at + wait_s
+        is_silent = silent_s > LINK_SILENCE_TIMEOUT_S
+        if is_silent and is_due and self.redial(contact.address.link):
             contact.redialled_at = now
-            self.redial(contact.address.link)
 
     def report_changes(self, owners: Iterable[Owner]) -> None:
         """Sends a report with its new updates to each of the owners."""
--- a/src/jackdawkeel/scheduling/agent_views.py
+++ b/src/jackdawkeel/scheduling/agent_views.py
@@ -123,7 +123,7 @@
         availability_zone: str,
         clock: Clock,
         log: EventLog,
-        redial: Callable[[str], None],
+        redial: Callable[[str], bool],
     ) -> None:
         self.availability_zone = availability_zone
         self.clock = clock
--- a/src/jackdawkeel/scheduling/assignment_sender.py
+++ b/src/jackdawkeel/scheduling/assignment_sender.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from functools import partial
 from typing import TYPE_CHECKING
 
 from ..events import EventName
@@ -124,6 +125,7 @@
                 held += self._assign_group(
                     job, index, tasks, avoided, targets, reserves
                 )
+        job.held = held
         self._count_held(job, held)
 
     def _assign_group(
@@ -144,6 +146,7 @@
             job.timing.max_slowdown(now),
             self.remote_slowdown,
             may_wait=not _is_late(job),
+            predict_release=partial(self._predict_release, job.timing.expected_s, now),
         )
         step = job.spec.steps[index]
         placement = place_tasks(step, len(ready), targets, limit, reserves)
@@ -155,6 +158,21 @@
             self._assign_to_agent(job, index, chosen[name], tasks)
         return placement.held
 
+    def _predict_release(
+        self, expected_s: float, now: float, target: TargetCapacity
+    ) -> float:
+        """Returns when a full target may have capacity, in expected run times.
+
+        Runs of other entries may end at any time.
+        """
+        own = self.open.list_of_agent(target.name)
+        claimed = sum(assignment.demand.cpu_millis for assignment in own)
+        used = target.capacity.cpu_millis - target.free.cpu_millis
+        if not own or claimed < used or expected_s <= 0:
+            return 0.0
+        ends_at = min(assignment.sent_at + assignment.expected_s for assignment in own)
+        return max(0.0, ends_at - now) / expected_s
+
     def _count_held(self, job: Job, held: int) -> None:
         """Counts the tasks of a job that were not held back in earlier passes."""
         job_id = job.spec.job_id
--- a/src/jackdawkeel/scheduling/entry_node.py
+++ b/src/jackdawkeel/scheduling/entry_node.py
@@ -16,6 +16,7 @@
 from ..http_messages import TEXT_TYPE
 from ..http_messages import HttpResponse
 from ..link.message_counts import count_messages
+from ..link.node import MAX_REDIAL_PAUSE_S
 from ..link.node import LinkNode
 from ..link.stream import STREAM_TRANSPORT
 from ..messages import PeerAddress
@@ -57,6 +58,7 @@
 
 TICK_INTERVAL_S = 0.05
 SILENCE_CHECK_INTERVAL_S = 0.2
+IDLE_LINK_CHECK_INTERVAL_S = 5.0
 # Maximum number of requests that wait for an answer; each blocks one thread.
 CALLER_THREADS = 160
 # After SIGTERM, the balancer sends new connections for about two of its checks.
@@ -103,6 +105,7 @@
             log=log,
             transport=STREAM_TRANSPORT,
             deliver=self.deliver,
+            max_redial_pause_s=MAX_REDIAL_PAUSE_S,
         )
         self.views = AgentViews(
             settings.availability_zone, self.clock, log, self.node.redial
@@ -332,6 +335,11 @@
                         SILENCE_CHECK_INTERVAL_S, self.views.check_silence, self.log
                     )
                 ),
+                asyncio.create_task(
+                    run_periodically(
+                        IDLE_LINK_CHECK_INTERVAL_S, self.node.close_idle_links, self.log
+                    )
+                ),
             ]
             self.is_listening = True
             self.log.record(EventName.READY, listen=callers.port)
--- a/src/jackdawkeel/scheduling/job.py
+++ b/src/jackdawkeel/scheduling/job.py
@@ -106,6 +106,8 @@
             succeeded, by step and kind of target.
         is_late: Whether it was admitted, or has begun, as a late job, which gets only
             capacity that jobs in time leave.
+        held: Ready tasks that the last pass of the scheduler left waiting although a
+            target had capacity.
         error: Why it ended without a result, or None.
         result: Its result, or None.
     """
@@ -119,6 +121,7 @@
     has_run: bool = False
     run_logs: dict[int, dict[str, list[float]]] = field(default_factory=dict)
     is_late: bool = False
+    held: int = 0
     error: DispatchError | None = None
     result: JobResult | None = None
 
@@ -167,6 +170,13 @@
             task.phase is TaskPhase.READY for tasks in self.tasks for task in tasks
         )
 
+    def lacks_capacity(self) -> bool:
+        """Returns whether a ready task is not only held for a better target."""
+        ready = sum(
+            task.phase is TaskPhase.READY for tasks in self.tasks for task in tasks
+        )
+        return ready > self.held
+
     def is_step_done(self, step: int) -> bool:
         """Returns whether all tasks of a step have succeeded."""
         return all(task.phase is TaskPhase.DONE for task in self.tasks[step])
--- a/src/jackdawkeel/scheduling/job_admission.py
+++ b/src/jackdawkeel/scheduling/job_admission.py
@@ -20,6 +20,7 @@
 from ..policy.waiting import choose_retry_delay_s
 from ..policy.waiting import predict_wait_s
 from ..policy.waiting import rank_job
+from ..policy.waiting import would_end_too_late
 from .queue_loads import QueueLoads
 
 
@@ -46,8 +47,8 @@
 
     Attributes:
         jobs: The jobs.
-        short_since: Since when jobs have been waiting without a break, in seconds of
-            the clock; infinite if none waits.
+        short_since: Since when jobs of a service have been waiting for capacity without
+            a break, in seconds of the clock; none waits if it is missing.
         discovers_until: Until when agents are still being discovered after the start of
             the entry, in seconds of the clock; capacity is then higher than known.
         shutdown_at: When the entry ends, in seconds of the clock; None if it does not
@@ -56,7 +57,7 @@
     """
 
     jobs: list[Job] = field(default_factory=list)
-    short_since: float = math.inf
+    short_since: dict[str, float] = field(default_factory=dict)
     discovers_until: float = 0.0
     shutdown_at: float | None = None
     loads: QueueLoads = field(default_factory=QueueLoads)
@@ -66,12 +67,16 @@
 
         Args:
             now: Time in clock seconds.
-            startable: The jobs that only lack capacity.
+            startable: The jobs that may start.
         """
-        if not any(job.has_ready_tasks() for job in startable):
-            self.short_since = math.inf
-        elif math.isinf(self.short_since):
-            self.short_since = now
+        short = {job.queue.service for job in startable if job.lacks_capacity()}
+        self.short_since = {
+            service: self.short_since.get(service, now) for service in short
+        }
+
+    def measure_shortage_s(self, service: str, now: float) -> float:
+        """Returns how long jobs of a service have been waiting, in seconds."""
+        return now - min(now, self.short_since.get(service, now))
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,6 +125,7 @@
     if not all(can_ever_run(step, targets) for step in job.spec.steps):
         text = "no target in service has the label and capacity for a task of the job"
         return _refuse_no_target(text)
+    share = queue.loads.find_load(job, now).admitted_share
     claimed = assignments.claimed[job.queue.service]
     wait = _predict_wait(job, targets, queue, claimed, now)
     if queue.shutdown_at is not None and not can_end_before(
@@ -129,10 +135,11 @@
         kind = ErrorKind.SHUTTING_DOWN
         return Refusal(DispatchError(kind, text), kind.value)
     is_over_share = queue.loads.exceeds_share(job, now)
-    share = queue.loads.find_load(job, now).admitted_share
     admission = decide_admission(job.timing, now, wait, is_over_share=is_over_share)
     is_in_time = admission is Admission.IN_TIME
-    queue.loads.record(job, now, is_admitted=is_in_time)
+    if not would_end_too_late(job.timing, now, 0.0):
+        # A queue whose callers have no time limits no others.
+        queue.loads.record(job, now, is_admitted=is_in_time)
     job.is_late = admission is Admission.LATE
     if is_in_time or job.is_late:
         return None
@@ -169,7 +176,7 @@
     now: float,
 ) -> PredictedWait:
     """Returns the predicted wait of a new job, in time and as a late one."""
-    shortage_s = now - min(now, queue.short_since)
+    shortage_s = queue.measure_shortage_s(job.queue.service, now)
     if now < queue.discovers_until:
         return PredictedWait(0.0, 0.0, shortage_s)
     ranks = [
@@ -280,6 +287,9 @@
             return True
         if may_late_job_start(job.timing, now, 0.0):
             return True
+        if any(step.required_label for step in job.spec.steps):
+            # The free share of all targets says nothing about those with the label.
+            return True
         if not may_late_job_start(job.timing, now, free_share):
             return False
         free = sum(target.free.cpu_millis for target in targets)
--- a/src/jackdawkeel/scheduling/target_link.py
+++ b/src/jackdawkeel/scheduling/target_link.py
@@ -15,6 +15,7 @@
 from .target_runtime import Listing
 from .target_runtime import StartOutcome
 from .target_runtime import TargetFailure
+from .task_run import RunPhase
 
 
 if TYPE_CHECKING:
@@ -40,8 +41,9 @@
 # Starts that one thread sends one after the other. Each job for a thread costs two
 # thread switches and a wake-up of the event loop; a start takes a few milliseconds.
 MAX_STARTS_PER_JOB = 4
-# Outcomes of starts that may have taken the time of a time-out.
-SLOW_OUTCOMES = frozenset({StartOutcome.UNKNOWN, StartOutcome.NOT_SENT})
+# Time after which the remaining starts of a job go to other threads, in seconds; the
+# target answers most starts within a few milliseconds.
+MAX_JOB_S = 0.01
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,6 +61,15 @@
     lease_until: float
 
 
+@dataclass(frozen=True, slots=True)
+class StartAnswer:
+    """The outcome of a start, and when it was known, in seconds of the clock."""
+
+    call: StartCall
+    outcome: StartOutcome
+    answered_at: float
+
+
 @dataclass(frozen=True, slots=True)
 class HoldCall:
     """A request to list the runs of the target.
@@ -146,35 +157,40 @@
             self.call_threads.submit(self._call_starts, job)
 
     def _call_starts(self, calls: list[StartCall]) -> None:
-        outcomes = []
+        began_at = self.clock()
+        answers = []
         for number, call in enumerate(calls, 1):
             outcome = self._call_start(call)
-            outcomes.append((call, outcome))
-            if outcome in SLOW_OUTCOMES:
-                # The others wait for one time-out only.
+            answers.append(StartAnswer(call, outcome, self.clock()))
+            if self.clock() > began_at + MAX_JOB_S:
                 for other in calls[number:]:
                     self.call_threads.submit(self._call_starts, [other])
                 break
-        self._report(self._handle_start_outcomes, outcomes)
+        self._report(self._handle_start_answers, answers)
 
     def _call_start(self, call: StartCall) -> StartOutcome:
+        run = call.task_run
+        if run.phase is not RunPhase.STARTING or run.run != call.run:
+            # It was stopped meanwhile. A target that restarts would not know the stop.
+            return StartOutcome.STALE_ATTEMPT
         if self.clock() >= call.lease_until:
             return StartOutcome.LEASE_EXPIRED
         token = self.target.fencing_token
-        payload = call.task_run.payload
         try:
-            return self.runtime.start(call.run, payload, call.lease_until, token)
+            return self.runtime.start(call.run, run.payload, call.lease_until, token)
         except Exception:
             self.log.record_exception("starting a run")
             return StartOutcome.UNKNOWN
 
-    def _handle_start_outcomes(
-        self, outcomes: list[tuple[StartCall, StartOutcome]]
-    ) -> None:
-        for call, outcome in outcomes:
-            attempt = call.run.attempt
+    def _handle_start_answers(self, answers: list[StartAnswer]) -> None:
+        for answer in answers:
             try:
-                self.tasks.handle_start_outcome(call.task_run, attempt, outcome)
+                self.tasks.handle_start_outcome(
+                    answer.call.task_run,
+                    answer.call.run.attempt,
+                    answer.outcome,
+                    answer.answered_at,
+                )
             except Exception:
                 # The outcomes of the other starts must not be lost.
                 self.log.record_exception("handling the outcome of a start")
--- a/src/jackdawkeel/scheduling/task_executor.py
+++ b/src/jackdawkeel/scheduling/task_executor.py
@@ -261,23 +261,37 @@
         self.start(run, min(now + TARGET_LEASE_S, latest))
 
     def handle_start_outcome(
-        self, run: TaskRun, attempt: int, outcome: StartOutcome
+        self,
+        run: TaskRun,
+        attempt: int,
+        outcome: StartOutcome,
+        answered_at: float | None = None,
     ) -> None:
-        """Handles the target's reply to a start."""
+        """Handles the target's reply to a start.
+
+        Args:
+            run: The assignment.
+            attempt: Attempt number of the start.
+            outcome: What the target replied.
+            answered_at: When the reply arrived, in seconds of the clock; now if not
+                given.
+        """
         if outcome is StartOutcome.STARTED:
             record_started(self.log, run, attempt, self.clock())
         if run.attempt != attempt or run.phase is RunPhase.ENDED:
             return
         if outcome is StartOutcome.STARTED:
-            self._handle_started(run)
+            self._handle_started(
+                run, self.clock() if answered_at is None else answered_at
+            )
         elif outcome is StartOutcome.UNKNOWN:
             self._record_stop(run, StopCause.START_UNANSWERED)
             self._send_stop(run)
         else:
             self._handle_refused_start(run, outcome)
 
-    def _handle_started(self, run: TaskRun) -> None:
-        run.started_at = self.clock()
+    def _handle_started(self, run: TaskRun, started_at: float) -> None:
+        run.started_at = started_at
         run.last_progress_at = run.started_at
         if run.phase is not RunPhase.STARTING:
             return
@@ -464,7 +478,11 @@
             return
         self._release(run)
         now = self.clock()
-        run_ms = MS_PER_S * (now - run.started_at) if run.started_at else 0.0
+        began_at = run.started_at
+        if status is TaskStatus.DONE and not began_at:
+            # Its end was listed before the reply to its start was handled.
+            began_at = run.start_sent_at
+        run_ms = MS_PER_S * (now - began_at) if began_at else 0.0
         run.phase = RunPhase.ENDED
         self.next_stop_at.pop(run.run, None)
         self.stop_requested_at.pop(run.run, None)
--- a/tests/link/test_node.py
+++ b/tests/link/test_node.py
@@ -15,15 +15,16 @@
 
 from jackdawkeel.clock import read_boot_clock
 from jackdawkeel.errors import StartError
+from jackdawkeel.link.address import split_link_address
 from jackdawkeel.link.limits import MAX_ENVELOPE_BYTES
 from jackdawkeel.link.limits import SEND_BUFFER_ENVELOPES
 from jackdawkeel.link.nng import NNG_TRANSPORT
 from jackdawkeel.link.node import ENVELOPE_SPLIT_BYTES
+from jackdawkeel.link.node import MAX_REDIAL_PAUSE_S
 from jackdawkeel.link.node import SEND_RETRY_DELAY_S
 from jackdawkeel.link.node import LinkNode
 from jackdawkeel.link.node import OutboundLink
 from jackdawkeel.link.stream import STREAM_TRANSPORT
-from jackdawkeel.link.stream import split_link_address
 from jackdawkeel.messages import PROTOCOL_VERSION
 from jackdawkeel.messages import Envelope
 from jackdawkeel.messages import JobQuery
@@ -192,6 +193,7 @@
     async def test_redials_of_a_peer_that_never_replies_become_rarer(self) -> None:
         now = 0.0
         self.one.node.clock = lambda: now
+        self.one.node.max_redial_pause_s = MAX_REDIAL_PAUSE_S
         silent_peer = find_free_link_address()
         redialled_at = []
         while now < 10.0:
@@ -218,6 +220,13 @@
         self.one.node.redial(self.recipient.link)
         self.assertEqual(self.one.node.links[self.recipient.link].session, session + 1)
 
+    async def test_an_invalid_address_does_not_affect_other_peers(self) -> None:
+        for address in ("", "tcp://127.0.0.1:99999"):
+            self.one.node.send(PeerAddress("7" * 16, address), JobQuery("lost"))
+        self.one.node.send(self.recipient, JobQuery("good"))
+        await self.two.wait_for(1)
+        self.assertEqual(self.two.messages, [JobQuery("good")])
+
     async def test_a_blocked_link_has_one_timer_however_much_is_sent(self) -> None:
         unreachable = PeerAddress("5" * 16, find_free_link_address())
         retries = 0
@@ -267,6 +276,7 @@
             with suppress(ConnectionError):
                 self.assertEqual(await reader.read(), b"")
         await self.wait_for_drops(1)
+        self.assertEqual(dict(self.two.node.dropped), {"oversized": 1})
         self.one.node.send(self.recipient, JobQuery("after"))
         await self.two.wait_for(2)
         self.assertEqual(self.one.node.links[self.recipient.link].session, 1)
--- a/tests/scheduling/test_short_notice.py
+++ b/tests/scheduling/test_short_notice.py
@@ -61,6 +61,12 @@
         [line] = self.logged(EventName.TASK_MOVED)
         self.assertEqual((line["cause"], line["remaining_ms"]), ("target_leaving", 2e3))
 
+    def test_a_run_that_was_lost_before_leaves_too(self) -> None:
+        self.assign(make_assignment(1, expected_ms=LONG_MS, may_move=False))
+        self.confirm(*self.started)
+        self.give_notice()
+        self.assertEqual(self.stopped, [self.started[0].run])
+
     def test_an_unknown_or_long_notice_changes_nothing(self) -> None:
         self.start_long_run()
         self.give_notice(None)
