--- a/src/jackdawkeel/scheduling/entry_node.py
+++ b/src/jackdawkeel/scheduling/entry_node.py
@@ -66,6 +66,9 @@
 # Part of the shutdown time that is reserved for sending answers and exiting.
 EXIT_MARGIN_S = 0.7
 DRAIN_POLL_INTERVAL_S = 0.05
+# A process that lacks processor time has requests that it has not read yet. They are
+# refused for this time, because the end of the process would lose them.
+LAST_REQUEST_S = 0.3
 # A starting entry listens after this time even without targets. Agents report within
 # half a second of their start.
 FIRST_TARGET_WAIT_S = 1.5
@@ -374,6 +377,7 @@
             is_out_of_rotation = self.clock() >= drain_started_at + BALANCER_REMOVAL_S
             if is_out_of_rotation and not self.in_flight:
                 self.is_refusing = True
+                await asyncio.sleep(LAST_REQUEST_S)
                 return
             await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
         self.is_refusing = True
