--- a/src/jackdawkeel/scheduling/target_runtime.py
+++ b/src/jackdawkeel/scheduling/target_runtime.py
@@ -41,6 +41,17 @@
     """No conclusive reply; it may run now or later."""
 
 
+# Outcomes after which an assignment may be sent to the target again.
+RETRIED_OUTCOMES = frozenset(
+    {
+        StartOutcome.STALE_ATTEMPT,
+        StartOutcome.STALE_TOKEN,
+        StartOutcome.LEASE_EXPIRED,
+        StartOutcome.NO_ROOM,
+    }
+)
+
+
 class EndKind(StrEnum):
     """How a run ended."""
 
--- a/src/jackdawkeel/scheduling/task_executor.py
+++ b/src/jackdawkeel/scheduling/task_executor.py
@@ -27,6 +27,7 @@
 from .run_events import record_stopping_unknown
 from .run_moves import find_move_cause
 from .run_quality import RunQuality
+from .target_runtime import RETRIED_OUTCOMES
 from .target_runtime import EndKind
 from .target_runtime import Run
 from .target_runtime import StartOutcome
@@ -69,15 +70,6 @@
     EndKind.FAILED: TaskStatus.FAILED,
     EndKind.OTHER: TaskStatus.LOST,
 }
-# Outcomes after which an assignment may be sent to the target again.
-RETRIED_OUTCOMES = frozenset(
-    {
-        StartOutcome.STALE_ATTEMPT,
-        StartOutcome.STALE_TOKEN,
-        StartOutcome.LEASE_EXPIRED,
-        StartOutcome.NO_ROOM,
-    }
-)
 
 
 class TaskExecutor:
