--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -431,10 +431,10 @@
     "harm_target": degrade_target,
     "crash_target": crash_target,
     "drain_target": drain_target,
-    "reclaim_target": reclaim_target,
     "evacuate_zone": evacuate_zone,
     "change_configuration": change_configuration,
     "pause_many": pause_many,
     "hold_callers": hold_callers,
     "hold_links": hold_links,
+    "reclaim_target": reclaim_target,
 }
