--- a/src/jackdawkeel/policy/departure.py
+++ b/src/jackdawkeel/policy/departure.py
@@ -26,7 +26,7 @@
 MIN_NOTICE_CHANGE_S = 0.5
 # Part of the remaining time that can't be used: the transmission of the notice, and
 # the listing that shows the end of a run, which takes a call of 0.1 s.
-REPORT_DELAY_S = 0.15
+STOP_MARGIN_S = 0.15
 # A run with this much of its work done is kept if its projected end is at most this
 # much too late: the projection is uncertain, and all of its work would be repeated.
 NEARLY_DONE_PERCENT = 90.0
@@ -59,7 +59,7 @@
         nothing is known about its run time, or if the target ends before a stop would
         take effect.
     """
-    usable_s = remaining_s - REPORT_DELAY_S
+    usable_s = remaining_s - STOP_MARGIN_S
     if usable_s <= 0:
         return False
     if progress.age_s >= MIN_AGE_S and progress.percent >= MIN_PERCENT:
--- a/src/jackdawkeel/policy/rack_demand.py
+++ b/src/jackdawkeel/policy/rack_demand.py
@@ -22,10 +22,8 @@
 # Time constant of the observed demand; a third of the bursts of 3 to 7 s, so that the
 # reserve follows them.
 DEMAND_TIME_S = 2.0
-# Processors kept free for each one that recent jobs of this entry used on average.
-# Other entries use the same rack and arrivals vary. With 3 more jobs ended in time than
-# with 1 in bench/large_fleet/uneven.py: 0.012, 0.010 and 0.006 of them at 0.7, 0.9 and
-# 1.1 of the capacity.
+# Processors kept free for each one that recent jobs of this entry used on average, since
+# other entries use the same rack and arrivals vary.
 RESERVE_FACTOR = 3.0
 # Smaller demands keep nothing free, in thousandths of a core.
 MIN_DEMAND_MILLIS = 1000.0
--- a/src/jackdawkeel/policy/sharing.py
+++ b/src/jackdawkeel/policy/sharing.py
@@ -25,8 +25,8 @@
     from .waiting import JobTiming
 
 
-# Time constant with which offered and admitted work are forgotten, in seconds. In the
-# model of shared capacity, 1 s and 4 s served the worst queue worse.
+# Time constant with which offered and admitted work are forgotten, in seconds; less than
+# the length of a burst.
 MEMORY_S = 2.0
 # A queue limits others only if it offers at least this part of all work, so that a
 # single refused wide job does not.
@@ -42,7 +42,6 @@
 # Least part, so that a wait is predicted however little work is admitted.
 MIN_LATE_RATE_SHARE = 0.01
 # Part of the capacity that late jobs leave free for jobs in time that arrive next.
-# Without it, fewer jobs are in time in the model, and the worth is lower.
 LATE_RESERVE_SHARE = 0.05
 # A late job may use this reserve shortly before it would be refused, so that none is
 # refused while a target has free capacity; two runs of the entry's tick.
@@ -135,8 +134,8 @@
 ) -> Admission:
     """Decides whether a new job is admitted to be in time, late, or not at all.
 
-    A job above the share of its queue is not admitted as a late one instead: fewer jobs
-    were in time then in the model.
+    A job above the share of its queue is not admitted as a late one instead, because it
+    would take capacity that its queue must leave to others.
 
     Args:
         timing: Times and priority of the job.
--- a/src/jackdawkeel/policy/target_rank.py
+++ b/src/jackdawkeel/policy/target_rank.py
@@ -33,9 +33,7 @@
 # Fast targets with at least this free share have room for bursts of wide jobs.
 AMPLE_FREE_SHARE = 0.25
 # Below that, fast targets are scarce if their free share is less than this multiple of
-# that of all targets. 0.75 and 1 gave the same share in time in
-# bench/large_fleet/uneven.py; the smaller one applies less often, when the shares of
-# small groups of targets differ by chance.
+# that of all targets; the shares of small groups of targets differ by chance.
 SCARCE_SHARE_RATIO = 0.75
 # Decimals that distinguish predicted run times, as multiples of the expected run time;
 # measured slowness is not more accurate.
--- a/src/jackdawkeel/policy/target_speed.py
+++ b/src/jackdawkeel/policy/target_speed.py
@@ -31,16 +31,15 @@
 # would hide a fault that affects a whole kind.
 MIN_FACTOR = 0.2
 MAX_FACTOR = 5.0
-# Largest deviation of one run that counts, as a factor of 2: 3% of tasks that take 7
-# times as long then shift a value by 2%, where a mean would be 18% too high.
+# Largest deviation of one run that counts, as a factor of 2, so that 3% of tasks that
+# take 7 times as long hardly shift a value.
 MAX_DEVIATION = math.log(2.0)
 # Runs that the prior counts for. Until MIN_WEIGHT is reached, the value is the average
 # of all runs, so that about 30 runs suffice.
 PRIOR_RUNS = 1
-# Least weight of a new run. With 0.03 the ratio of a queue varies by 9% although the
-# tasks of a job share its wrong estimate (0.05: 11%, 0.01: 6%), and follows callers
-# whose estimates become 4 times too short in 68 runs (0.05: 43, 0.01: 161). Factors of
-# kinds are persistent and should vary little.
+# Least weight of a new run. The ratio of a queue must follow callers whose estimates
+# change, but the tasks of a job share its wrong estimate. Factors of kinds are
+# persistent and should vary little.
 MIN_QUEUE_WEIGHT = 0.03
 MIN_KIND_WEIGHT = 0.01
 
--- a/src/jackdawkeel/scheduling/agent_views.py
+++ b/src/jackdawkeel/scheduling/agent_views.py
@@ -36,7 +36,7 @@
 # arrive.
 MAX_REPLACED_AGENTS = 4000
 # Age up to which suspects, the median slowness and the number of targets of each kind
-# are used again: one tick of the entry. Scheduling passes are up to 56 a second.
+# are used again: one tick of the entry. Passes of the scheduler are more frequent.
 SUMMARY_AGE_S = 0.05
 
 
--- a/src/jackdawkeel/scheduling/target_link.py
+++ b/src/jackdawkeel/scheduling/target_link.py
@@ -166,7 +166,7 @@
                 for other in calls[number:]:
                     self.call_threads.submit(self._call_starts, [other])
                 break
-        self._report(self._handle_start_answers, answers)
+        self._run_on_loop(self._handle_start_answers, answers)
 
     def _call_start(self, call: StartCall) -> StartOutcome:
         run = call.task_run
@@ -211,7 +211,7 @@
             failure = self.runtime.stop(run, self.target.fencing_token)
         except Exception:
             self.log.record_exception("stopping a run")
-        self._report(self._handle_stop_outcome, run, failure)
+        self._run_on_loop(self._handle_stop_outcome, run, failure)
 
     def _handle_stop_outcome(self, run: Run, failure: TargetFailure | None) -> None:
         self.pending_stops.discard(run)
@@ -282,9 +282,9 @@
             )
         except Exception:
             self.log.record_exception("listing the runs of the target")
-        self._report(handle, call, answer)
+        self._run_on_loop(handle, call, answer)
 
-    def _report(self, handle: Callable[..., None], *arguments: object) -> None:
+    def _run_on_loop(self, handle: Callable[..., None], *arguments: object) -> None:
         """Calls a function on the event loop, from a thread."""
 
         def handle_answer() -> None:
--- a/tests/policy/test_departure.py
+++ b/tests/policy/test_departure.py
@@ -8,7 +8,7 @@
 
 import unittest
 
-from jackdawkeel.policy.departure import REPORT_DELAY_S
+from jackdawkeel.policy.departure import STOP_MARGIN_S
 from jackdawkeel.policy.departure import should_leave
 from jackdawkeel.policy.progress import Progress
 
@@ -25,7 +25,7 @@
         cases = [
             ("new, expected to end", make_progress(), 2.0, False),
             ("new, expected to be late", make_progress(expected_s=2.5), 2.0, True),
-            ("the report was delayed", make_progress(), 1.8 + REPORT_DELAY_S / 2, True),
+            ("the report was delayed", make_progress(), 1.8 + STOP_MARGIN_S / 2, True),
             ("slower than expected", make_progress(20.0, 1.0), 2.0, True),
             ("faster than expected", make_progress(50.0, 0.4, 9.0), 2.0, False),
             ("nearly ends in time", make_progress(92.0, 9.0, 9.0), 0.7, False),
