--- a/src/jackdawkeel/policy/rack_demand.py
+++ b/src/jackdawkeel/policy/rack_demand.py
@@ -22,7 +22,7 @@
 # Time constant of the observed demand; a third of the bursts of 3 to 7 s, so that the
 # reserve follows them.
 DEMAND_TIME_S = 2.0
-# Processors kept free for each one that recent jobs of this entry used on average, since
+# Processors kept free for each one that recent jobs of this entry used on average:
 # other entries use the same rack and arrivals vary.
 RESERVE_FACTOR = 3.0
 # Smaller demands keep nothing free, in thousandths of a core.
--- a/src/jackdawkeel/policy/sharing.py
+++ b/src/jackdawkeel/policy/sharing.py
@@ -25,8 +25,8 @@
     from .waiting import JobTiming
 
 
-# Time constant with which offered and admitted work are forgotten, in seconds; less than
-# the length of a burst.
+# Time constant with which offered and admitted work are forgotten, in seconds; shorter
+# than a burst.
 MEMORY_S = 2.0
 # A queue limits others only if it offers at least this part of all work, so that a
 # single refused wide job does not.
