Log crashes of targets with the runs that were at work on them

An agent now logs target_crashed with the evidence and the age of each run, and withdraws it if the same incarnation replies again. No logic changes.

--- a/src/jackdawkeel/events.py
+++ b/src/jackdawkeel/events.py
@@ -50,6 +50,7 @@
     TARGET_GONE = "target_gone"
     TARGET_UNREACHABLE = "target_unreachable"
     TARGET_REACHED = "target_reached"
+    TARGET_CRASHED = "target_crashed"
     TASK_STOPPING = "task_stopping"
     TASK_RUN = "task_run"
     TASK_MOVED = "task_moved"
--- /dev/null
+++ b/src/jackdawkeel/scheduling/crash_watch.py
@@ -0,0 +1,103 @@
+"""Notices crashes of an agent's target by failing calls and new incarnations."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from ..events import EventName
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Collection
+
+    from ..clock import Clock
+    from ..logs import EventLog
+    from .target_state import TargetState
+    from .task_run import TaskRun
+
+
+MS_PER_S = 1000
+
+
+class CrashWatch:
+    """Distinguishes crashes of the target from planned ends and from lost calls.
+
+    Attributes:
+        failing_since: When calls of the present incarnation began to fail, in seconds
+            of the clock; None if the last one succeeded.
+        was_ending: Whether the present incarnation has announced its end.
+        crashed_born_ms: The incarnation whose crash was recorded last; 0 if none.
+    """
+
+    def __init__(
+        self,
+        target: TargetState,
+        clock: Clock,
+        log: EventLog,
+        find_runs: Callable[[], Collection[TaskRun]],
+    ) -> None:
+        """Creates a watch for a target that has not replied yet.
+
+        Args:
+            target: The agent's knowledge about its target.
+            clock: Clock in seconds.
+            log: Event log.
+            find_runs: Returns the runs that may be at work on the target.
+        """
+        self.target = target
+        self.clock = clock
+        self.log = log
+        self.find_runs = find_runs
+        self.failing_since: float | None = None
+        self.was_ending = False
+        self.crashed_born_ms = 0
+
+    def record_failure(self) -> None:
+        """Records that a call has failed."""
+        if self.failing_since is None:
+            self.failing_since = self.clock()
+            self.was_ending |= self._is_ending()
+
+    def record_lost_runs(self, *, is_refused: bool) -> None:
+        """Records that the runs of a silent target are about to be ended as lost.
+
+        Args:
+            is_refused: Whether it refuses connections, as no silent process does.
+        """
+        if is_refused or self.crashed_born_ms != self.target.born_ms:
+            self._record_crash("refused" if is_refused else "silent")
+
+    def record_listing(self, born_ms: int) -> None:
+        """Records a reply of the target, before its effects are applied."""
+        current = self.target.born_ms
+        if current and born_ms != current:
+            self._record_crash("restarted")
+        elif current and self.crashed_born_ms == current:
+            self.crashed_born_ms = 0
+            self._log("withdrawn")
+        self.failing_since = None
+        self.was_ending = self._is_ending()
+
+    def _is_ending(self) -> bool:
+        report = self.target.report
+        return report is None or report.is_draining
+
+    def _record_crash(self, evidence: str) -> None:
+        if self.was_ending or not self.find_runs():
+            return
+        self.crashed_born_ms = self.target.born_ms
+        self._log(evidence)
+
+    def _log(self, evidence: str) -> None:
+        at = self.clock() if self.failing_since is None else self.failing_since
+        self.log.record(
+            EventName.TARGET_CRASHED,
+            born_ms=self.target.born_ms,
+            evidence=evidence,
+            noticed_ms=round(MS_PER_S * (self.clock() - at), 1),
+            ages_ms={
+                run.assignment.task: round(MS_PER_S * (at - run.start_sent_at), 1)
+                for run in self.find_runs()
+            },
+        )
--- a/src/jackdawkeel/scheduling/target_link.py
+++ b/src/jackdawkeel/scheduling/target_link.py
@@ -9,6 +9,7 @@
 from typing import Self
 
 from ..events import EventName
+from .crash_watch import CrashWatch
 from .leases import MAX_TARGET_LEASE_S
 from .leases import TARGET_CLOCK_DRIFT
 from .leases import TARGET_LEASE_S
@@ -20,6 +21,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Collection
 
     from ..clock import Clock
     from ..logs import EventLog
@@ -92,6 +94,7 @@
     take several iterations of the loop.
 
     Attributes:
+        crashes: Notices crashes of the target.
         starts: Starts of this iteration of the event loop, not sent yet.
         is_polling: Whether an immediate listing is pending.
         is_poll_wanted: Whether another one is to follow it.
@@ -110,6 +113,7 @@
         self.clock = clock
         self.log = log
         self.executor: TaskExecutor | None = None
+        self.crashes = CrashWatch(target, clock, log, self._find_runs)
         self.acknowledged = 0
         self.lease_until = 0.0
         self.last_seen_at = 0.0
@@ -141,6 +145,9 @@
         )
         return self.executor
 
+    def _find_runs(self) -> Collection[TaskRun]:
+        return self.tasks.by_run.values()
+
     def start(self, run: TaskRun, lease_until: float) -> None:
         """Sends a start and passes its outcome to the executor."""
         self.lease_until = max(self.lease_until, lease_until)
@@ -311,6 +318,7 @@
             return
         self.last_seen_at = max(self.last_seen_at, requested_at)
         self.target.set_reachable(True)
+        self.crashes.record_listing(listing.born_ms)
         if is_other_incarnation:
             self._begin_incarnation(listing.born_ms)
         self.tasks.handle_listing(listing, requested_at)
@@ -333,11 +341,15 @@
         if failure is TargetFailure.STALE_TOKEN:
             self.target.raise_token()
             return
+        self.crashes.record_failure()
+        is_refused = failure is TargetFailure.UNREACHABLE
         silent_s = self.clock() - self.last_seen_at
-        if silent_s > MAX_SILENCE_FOR_RENEWAL_S or failure is TargetFailure.UNREACHABLE:
+        if silent_s > MAX_SILENCE_FOR_RENEWAL_S or is_refused:
             self.target.set_reachable(False, failure.value)
         drift_s = TARGET_CLOCK_DRIFT * (TARGET_LEASE_S + MAX_SILENCE_FOR_RENEWAL_S)
         expired_s = self.clock() - self.lease_until - drift_s
+        if expired_s > 0:
+            self.crashes.record_lost_runs(is_refused=is_refused)
         if expired_s > MAX_TARGET_LEASE_S - TARGET_LEASE_S and self.tasks.by_run:
             # A restarted target, too, has ended all runs.
             self.tasks.handle_target_lost()
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import contextlib
+import json
 import socket
 from dataclasses import dataclass
 from dataclasses import field
 from typing import TYPE_CHECKING
+from typing import Any
 
 from jackdawkeel.logs import EventLog
 from jackdawkeel.messages import Message
@@ -86,3 +88,8 @@
     """Yields a URL whose port accepts connections and never responds."""
     with socket.create_server(("127.0.0.1", 0)) as silent:
         yield f"http://127.0.0.1:{silent.getsockname()[1]}"
+
+
+def read_lines(lines: list[bytes]) -> list[dict[str, Any]]:
+    """Returns the fields of all log lines that a log of ``make_log`` has written."""
+    return [json.loads(line) for line in lines if line.strip()]
--- a/tests/scheduling/test_task_executor.py
+++ b/tests/scheduling/test_task_executor.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import json
 import unittest
 from typing import TYPE_CHECKING
 from typing import Any
@@ -35,6 +34,7 @@
 from tests.fakes import FakeClock
 from tests.fakes import make_address
 from tests.fakes import make_log
+from tests.fakes import read_lines
 
 
 if TYPE_CHECKING:
@@ -117,7 +117,7 @@
 
     def logged(self, event: EventName) -> list[dict[str, Any]]:
         """Returns the fields of all log lines of one event."""
-        events = [json.loads(line) for line in self.lines if line.strip()]
+        events = read_lines(self.lines)
         return [fields for fields in events if fields["message_type"] == event]
 
     def started_tasks(self) -> list[str]:
