--- a/tests/standins/platform_http.py
+++ b/tests/standins/platform_http.py
@@ -45,22 +45,38 @@
     def __init__(
         self, handle: Callable[[Request], tuple[int, Body]], host: str, port: int = 0
     ) -> None:
-        self.server = _Server((host, port), handle)
-        self.port: int = self.server.server_address[1]
+        self.handle = handle
+        self.host = host
+        self.port = port
+        self.listen()
         self.address = f"{host}:{self.port}"
-        self.thread = threading.Thread(
-            target=self.server.serve_forever, args=(SHUTDOWN_POLL_S,), daemon=True
-        )
 
     def __enter__(self) -> Self:
         self.thread.start()
         return self
 
     def __exit__(self, *_: object) -> None:
+        self.refuse()
+
+    def listen(self) -> None:
+        """Accepts connections, which are served once the thread has started."""
+        self.server = _Server((self.host, self.port), self.handle)
+        self.port = self.server.server_address[1]
+        self.thread = threading.Thread(
+            target=self.server.serve_forever, args=(SHUTDOWN_POLL_S,), daemon=True
+        )
+
+    def refuse(self) -> None:
+        """Refuses new connections; open ones are still served."""
         self.server.shutdown()
         self.thread.join()
         self.server.server_close()
 
+    def listen_again(self) -> None:
+        """Accepts and serves connections after ``refuse``."""
+        self.listen()
+        self.thread.start()
+
 
 class _Server(QuietServer):
     def __init__(
--- a/tests/standins/platform_target.py
+++ b/tests/standins/platform_target.py
@@ -71,6 +71,10 @@
         retain_starts: Number of starts still to get no answer and take effect only at
             ``release_starts``.
         ignore_stops: Whether stops have no effect and get no answer.
+        deadly_tasks: Tasks that crash the target ``crash_delay_s`` after their start.
+        crash_delay_s: Time from the start of such a task to the crash, in seconds.
+        restart_s: Time from such a crash to the next incarnation, in seconds; the
+            target refuses connections meanwhile.
         clock_rate: Speed of the target's clock relative to real time, from its next
             incarnation on.
     """
@@ -82,6 +86,9 @@
     delay_s: float = 0.0
     retain_starts: int = 0
     ignore_stops: bool = False
+    deadly_tasks: frozenset[str] = frozenset()
+    crash_delay_s: float = 0.01
+    restart_s: float = 1.0
     clock_rate: float = 1.0
 
 
@@ -104,6 +111,7 @@
 
     Attributes:
         runs: Runs of all incarnations, in order of their start.
+        is_down: Whether it has crashed and not restarted yet.
         retained: Bodies of starts that have not taken effect yet.
         faults: Injected faults.
         state: State that the heartbeats report.
@@ -126,6 +134,7 @@
         self.retained: list[dict[str, Any]] = []
         self.changed = threading.Condition()
         self.stopped = threading.Event()
+        self.is_down = False
         self._start_incarnation()
         self.server = StandinServer(self._handle, "127.0.0.1")
         self.address = self.server.address
@@ -149,11 +158,32 @@
     def crash(self) -> None:
         """Ends all running tasks and starts a new incarnation under the same id."""
         with self.changed:
-            for record in self.running.values():
-                record.ended_at = time.monotonic()
-                record.end_kind = "crashed"
+            self._end_incarnation()
             self._start_incarnation()
 
+    def _end_incarnation(self) -> None:
+        for record in self.running.values():
+            record.ended_at = time.monotonic()
+            record.end_kind = "crashed"
+        self.running.clear()
+
+    def _crash_by_task(self, key: tuple[str, int], delay_s: float) -> None:
+        """Crashes while a task is at work, and restarts, with a new clock, later."""
+        if self.stopped.wait(delay_s):
+            return
+        with self.changed:
+            if self.is_down or key not in self.running:
+                return
+            self.is_down = True
+            self._end_incarnation()
+            self.changed.notify_all()
+        self.server.refuse()
+        self.stopped.wait(self.faults.restart_s)
+        with self.changed:
+            self._start_incarnation()
+            self.is_down = False
+        self.server.listen_again()
+
     def release_starts(self) -> None:
         """Lets the retained starts take effect, possibly in a later incarnation."""
         with self.changed:
@@ -201,6 +231,8 @@
     def _send_heartbeats(self) -> None:
         pool = urllib3.PoolManager(retries=False)
         while not self.stopped.wait(HEARTBEAT_INTERVAL_S):
+            if self.is_down:
+                continue
             self.sequence += 1
             state = self.state
             url = (
@@ -247,6 +279,8 @@
             handle = routes.get(request.path)
             if handle is None:
                 return 404, {}
+            if self.is_down:
+                return NO_ANSWER, {}
             expected = request.headers.get("expected-instance", self.identity.instance)
             if expected != self.identity.instance:
                 return 421, {}
@@ -283,6 +317,12 @@
             record = RunRecord(*key, body["spec"], 1000, time.monotonic())
             self.running[key] = record
             self.runs.append(record)
+            if record.task in self.faults.deadly_tasks:
+                threading.Thread(
+                    target=self._crash_by_task,
+                    args=(key, self.faults.crash_delay_s),
+                    daemon=True,
+                ).start()
         return 200, {"clockMs": self._clock_ms()}
 
     def _find_conflict(self, body: dict[str, Any]) -> str:
@@ -326,6 +366,8 @@
         self.ended = [item for item in self.ended if item[0] > body["ackedThrough"]]
         if not self.ended:
             self.changed.wait(body.get("waitMs", 0) / MS_PER_S)
+        if self.is_down:
+            return NO_ANSWER, {}
         now = time.monotonic()
         running = [
             [
