Give up tasks that crash the targets that start them

Cause: a lost run was retried without a limit, as if the target had been to blame. Nothing counted the crashes under a task, and a count at the entry would have ended with it.

Change: an agent records each crash of its target with the runs at work on it. Agents and entries exchange the records with the messages they send anyway, until they are acknowledged, so that they outlast both the agent and the entry. A task is given up after two crashes that it may have caused, or after four in all: starts after the third are at most two even if a record arrives late. Suspects, the youngest runs, run again one to a target at a time, and a crash during such a trial is blamed on the suspect alone, so that the runs beside it are not given up with it.

--- a/src/jackdawkeel/events.py
+++ b/src/jackdawkeel/events.py
@@ -56,6 +56,7 @@
     TASK_MOVED = "task_moved"
     TARGETS_SUSPECTED = "targets_suspected"
     TASK_REFUSED = "task_refused"
+    TASK_GIVEN_UP = "task_given_up"
     RUN_TIME_FACTOR_CHANGED = "run_time_factor_changed"
 
     STORE_REACHED = "store_reached"
--- a/src/jackdawkeel/messages/scheduling.py
+++ b/src/jackdawkeel/messages/scheduling.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from enum import IntEnum
 from enum import StrEnum
 
 import msgspec
@@ -27,6 +28,53 @@
     """The target rejects it permanently; it has not run."""
 
 
+class CrashState(IntEnum):
+    """How certain a crash of a target is; a higher value replaces a lower one."""
+
+    SUSPECTED = 0
+    """The target does not reply."""
+    CONFIRMED = 1
+    """It refuses connections, or another incarnation replies."""
+    WITHDRAWN = 2
+    """The incarnation has replied again."""
+
+
+class TargetCrash(msgspec.Struct, frozen=True, array_like=True):
+    """A crash of a target, and the tasks that may have been at work on it.
+
+    Attributes:
+        agent: Incarnation of the target's agent.
+        born_ms: The incarnation of the target.
+        state: A value of ``CrashState``.
+        age_ms: Time since the crash, in milliseconds.
+        suspects: Tasks that may have caused it, with the age of the run in
+            milliseconds.
+        others: The other tasks.
+    """
+
+    agent: str
+    born_ms: int
+    state: int
+    age_ms: int
+    suspects: dict[str, int]
+    others: list[str]
+
+
+class CrashExchange(msgspec.Struct, frozen=True, array_like=True):
+    """Crashes that the recipient has not acknowledged.
+
+    Attributes:
+        crashes: The crashes.
+        through: Number of the sender's records through which they are complete.
+        received_through: Number of the recipient's records through which the sender has
+            received them.
+    """
+
+    crashes: list[TargetCrash]
+    through: int
+    received_through: int
+
+
 class TaskAssignment(msgspec.Struct, frozen=True, array_like=True):
     """One attempt to run a task on the agent's target.
 
@@ -40,6 +88,8 @@
         expected_ms: Expected run time in milliseconds; 0 if unknown.
         may_move: Whether the agent may end the run for lack of progress and return the
             task to the entry.
+        trial_ms: How long its run is on trial because it may have crashed a target, in
+            milliseconds; 0 if it is no suspect.
     """
 
     number: int
@@ -49,6 +99,7 @@
     start_within_ms: int
     expected_ms: int
     may_move: bool
+    trial_ms: int = 0
 
 
 class JobAssignments(msgspec.Struct, frozen=True, array_like=True):
@@ -100,6 +151,7 @@
         median_slowness: Median of the slowness that agents report.
         change_interval_s: Minimum time between two reports of changed free capacity, in
             seconds.
+        crashes: Crashes that the agent has not acknowledged.
     """
 
     echo: float
@@ -109,6 +161,7 @@
     entries: list[PeerAddress]
     median_slowness: float
     change_interval_s: float = 0.0
+    crashes: CrashExchange | None = None
 
 
 class TaskUpdate(msgspec.Struct, frozen=True, array_like=True):
@@ -167,6 +220,8 @@
         recent_failed: Number of those runs that failed or made no progress.
         is_last: Whether the agent sends no further reports, because it reports to other
             entries and has no open assignments of this one.
+        crashes: Crashes that the entry has not acknowledged.
+        has_trial: Whether a run that may have crashed a target is on trial.
     """
 
     sent_at: float
@@ -180,3 +235,5 @@
     recent_ended: int
     recent_failed: int
     is_last: bool = False
+    crashes: CrashExchange | None = None
+    has_trial: bool = False
--- a/src/jackdawkeel/metrics.py
+++ b/src/jackdawkeel/metrics.py
@@ -43,6 +43,7 @@
     JOBS_IN_TIME = "jobs_in_time"
     JOBS_LATE = "jobs_late"
     JOBS_REFUSED = "jobs_refused"
+    JOBS_GIVEN_UP = "jobs_given_up"
 
 
 class GaugeName(StrEnum):
@@ -91,6 +92,7 @@
     CounterName.JOBS_IN_TIME: Description("Jobs answered in time.", "queue"),
     CounterName.JOBS_LATE: Description("Jobs answered late.", "queue"),
     CounterName.JOBS_REFUSED: Description("Jobs refused.", "queue_and_reason"),
+    CounterName.JOBS_GIVEN_UP: Description("Jobs that crash targets.", "queue"),
     GaugeName.AGENTS: Description("Agents that are heard.", "state"),
     GaugeName.ENTRIES: Description("Entries that are heard.", "state"),
     GaugeName.JOBS: Description("Jobs that have not ended.", "state"),
--- a/src/jackdawkeel/policy/packing.py
+++ b/src/jackdawkeel/policy/packing.py
@@ -53,6 +53,7 @@
             on the average target of the service.
         is_avoided: Whether a task of the group failed or was lost there.
         placed: Number of tasks of the step assigned to it.
+        has_trial: Whether a task that may have crashed a target is on trial there.
     """
 
     name: str
@@ -64,6 +65,7 @@
     run_time_factor: float = 1.0
     is_avoided: bool = False
     placed: int = 0
+    has_trial: bool = False
 
 
 @dataclass(slots=True)
--- a/src/jackdawkeel/scheduling/agent_node.py
+++ b/src/jackdawkeel/scheduling/agent_node.py
@@ -138,6 +138,7 @@
                 self.executor.quality.median_slowness = message.median_slowness
                 self.reports.add_entries(message.entries)
                 self.reports.set_change_interval(sender, message.change_interval_s)
+                self.reports.receive_crashes(sender, message.crashes)
                 if message.evacuation_revision:
                     zones = frozenset(message.evacuated_zones)
                     self.target.apply_evacuations(zones, message.evacuation_revision)
--- a/src/jackdawkeel/scheduling/agent_reports.py
+++ b/src/jackdawkeel/scheduling/agent_reports.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from dataclasses import field
 from typing import TYPE_CHECKING
 
 from ..messages.scheduling import AgentReport
@@ -12,6 +13,7 @@
 from ..policy.neighbourhood import update_idle_since
 from ..policy.neighbourhood import weigh_entry
 from ..policy.reporting import choose_change_interval_s
+from .crash_records import ExchangeProgress
 from .leases import LINK_SILENCE_TIMEOUT_S
 from .leases import REPORT_INTERVAL_S
 
@@ -23,6 +25,7 @@
     from ..clock import Clock
     from ..messages import Message
     from ..messages import PeerAddress
+    from ..messages.scheduling import CrashExchange
     from .owners import Owner
     from .process_settings import ProcessSettings
     from .resources import Resources
@@ -59,6 +62,7 @@
         change_interval_s: Minimum time between reports of changed free capacity that
             the entry requests, in seconds.
         is_reported_to: Whether the entry expects further reports.
+        crashes: How far crashes were exchanged with it.
     """
 
     address: PeerAddress
@@ -73,6 +77,7 @@
     redialled_at: float = 0.0
     change_interval_s: float = 0.0
     is_reported_to: bool = False
+    crashes: ExchangeProgress = field(default_factory=ExchangeProgress)
 
     def measure_silence_s(self, now: float) -> float:
         """Returns for how long it has not replied to reports, in seconds."""
@@ -147,8 +152,16 @@
         if contact.address != address:
             contact.address = address
             contact.full_report_at = 0.0
+            contact.crashes = ExchangeProgress()
         contact.last_seen_at = self.clock()
 
+    def receive_crashes(
+        self, address: PeerAddress, exchange: CrashExchange | None
+    ) -> None:
+        """Records the crashes that an entry knows."""
+        progress = self.contacts[address.link].crashes
+        self.executor.crashes.receive(exchange, progress, address.incarnation)
+
     def set_change_interval(self, address: PeerAddress, interval_s: float) -> None:
         """Sets the minimum time between reports of changed capacity, in seconds."""
         self.contacts[address.link].change_interval_s = interval_s
@@ -265,6 +278,10 @@
             recent_ended=ended,
             recent_failed=failed,
             is_last=not contact.is_reported_to,
+            crashes=self.executor.crashes.collect(
+                contact.crashes, contact.address.incarnation
+            ),
+            has_trial=self.executor.has_trial(),
         )
         self.send(contact.address, report)
 
--- a/src/jackdawkeel/scheduling/agent_views.py
+++ b/src/jackdawkeel/scheduling/agent_views.py
@@ -14,6 +14,7 @@
 from ..policy.suspects import TargetStats
 from ..policy.suspects import find_suspects
 from ..policy.target_speed import find_kind
+from .crash_records import ExchangeProgress
 from .leases import LINK_SILENCE_TIMEOUT_S
 from .leases import latest_run_end
 from .run_times import RunTimes
@@ -56,6 +57,8 @@
         listed_at: When that list was sent, in seconds of the entry's clock.
         labels: Labels of its target.
         kind: Kind of its target; empty if none.
+        crashes: How far crashes were exchanged with it.
+        last_trial: Number of the last assignment whose run is on trial there.
     """
 
     address: PeerAddress
@@ -68,6 +71,8 @@
     listed_at: float = 0.0
     labels: frozenset[str] = frozenset()
     kind: str = ""
+    crashes: ExchangeProgress = field(default_factory=ExchangeProgress)
+    last_trial: int = 0
 
     def __post_init__(self) -> None:
         self._read_labels()
@@ -83,6 +88,10 @@
         self.labels = frozenset(self.report.target.labels)
         self.kind = find_kind(self.report.target.labels)
 
+    def has_trial(self) -> bool:
+        """Returns whether a run that may have crashed a target is on trial there."""
+        return self.report.has_trial or self.last_trial in self.unreported
+
     def free_capacity(self) -> Resources:
         """Returns the reported free capacity, less that of unreported assignments."""
         free = self.report.free
@@ -295,6 +304,7 @@
                 is_local=view.report.target.availability_zone == self.availability_zone,
                 slowness=view.report.slowness,
                 run_time_factor=factors[view.kind],
+                has_trial=view.has_trial(),
             )
             for view in usable
             if view.address.incarnation not in suspects
--- a/src/jackdawkeel/scheduling/assignment_sender.py
+++ b/src/jackdawkeel/scheduling/assignment_sender.py
@@ -12,6 +12,7 @@
 from ..messages.scheduling import StopTasks
 from ..messages.scheduling import TaskAssignment
 from ..policy.packing import RunTimeLimit
+from ..policy.packing import count_fitting_tasks
 from ..policy.packing import place_tasks
 from ..policy.target_rank import is_near_data
 from ..policy.target_rank import predict_slowdown
@@ -35,6 +36,7 @@
     from ..policy.packing import TargetCapacity
     from .agent_views import AgentView
     from .agent_views import AgentViews
+    from .crash_records import CrashRecords
     from .job import Job
     from .job import Task
     from .run_times import RunTimes
@@ -75,6 +77,7 @@
         log: EventLog,
         views: AgentViews,
         run_times: RunTimes,
+        crashes: CrashRecords,
         send: Callable[[PeerAddress, Message], None],
         remote_slowdown: float,
     ) -> None:
@@ -85,6 +88,7 @@
             log: Event log.
             views: The agents, as the entry knows them.
             run_times: Predicts run times from the callers' estimates.
+            crashes: Crashes of targets, and the tasks that may have caused them.
             send: Sends a message to a process.
             remote_slowdown: Run time of a task outside the rack of its data, divided by
                 that within it.
@@ -93,6 +97,7 @@
         self.log = log
         self.views = views
         self.run_times = run_times
+        self.crashes = crashes
         self.send = send
         self.remote_slowdown = remote_slowdown
         self.open = OpenAssignments()
@@ -117,17 +122,47 @@
                 rack, in thousandths of a core.
         """
         held = 0
+        waiting_trials = 0
         for index in range(len(job.spec.steps)):
             groups: dict[frozenset[str], list[Task]] = {}
             for task in job.ready_tasks(index):
-                groups.setdefault(task.avoided, []).append(task)
+                if self.crashes.trial_s(task.name):
+                    waiting_trials += not self._assign_suspect(
+                        job, task, targets, reserves
+                    )
+                else:
+                    groups.setdefault(task.avoided, []).append(task)
             for avoided, tasks in groups.items():
                 held += self._assign_group(
                     job, index, tasks, avoided, targets, reserves
                 )
-        job.held = held
+        job.held = held + waiting_trials
         self._count_held(job, held)
 
+    def _assign_suspect(
+        self,
+        job: Job,
+        task: Task,
+        targets: list[TargetCapacity],
+        reserves: Mapping[str, float],
+    ) -> bool:
+        """Assigns a task that may have crashed a target, one to a target at a time.
+
+        Returns:
+            Whether it was assigned, or no target has capacity for it anyway.
+        """
+        without_trial = [target for target in targets if not target.has_trial]
+        self._assign_group(
+            job, task.step, [task], task.avoided, without_trial, reserves
+        )
+        for assignment in job.open_assignments.values():
+            if assignment.task is task:
+                self.views.views[assignment.agent].last_trial = assignment.number
+                for target in without_trial:
+                    target.has_trial |= target.name == assignment.agent
+                return True
+        return not count_fitting_tasks(job.spec.steps[task.step], targets)
+
     def _assign_group(
         self,
         job: Job,
@@ -270,6 +305,9 @@
                     start_within_ms=ASSIGNMENT_WAIT_MS,
                     expected_ms=round(MS_PER_S * assignment.expected_s),
                     may_move=assignment.task.lost_runs < MAX_LOST_RUNS,
+                    trial_ms=round(
+                        MS_PER_S * self.crashes.trial_s(assignment.task.name)
+                    ),
                 )
                 for assignment in assignments
             ],
--- a/src/jackdawkeel/scheduling/crash_watch.py
+++ b/src/jackdawkeel/scheduling/crash_watch.py
@@ -5,16 +5,17 @@
 from typing import TYPE_CHECKING
 
 from ..events import EventName
+from ..messages.scheduling import CrashState
+from ..policy.crash_blame import find_suspects
 
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from collections.abc import Collection
 
     from ..clock import Clock
     from ..logs import EventLog
     from .target_state import TargetState
-    from .task_run import TaskRun
+    from .task_executor import TaskExecutor
 
 
 MS_PER_S = 1000
@@ -35,7 +36,7 @@
         target: TargetState,
         clock: Clock,
         log: EventLog,
-        find_runs: Callable[[], Collection[TaskRun]],
+        find_executor: Callable[[], TaskExecutor],
     ) -> None:
         """Creates a watch for a target that has not replied yet.
 
@@ -43,12 +44,12 @@
             target: The agent's knowledge about its target.
             clock: Clock in seconds.
             log: Event log.
-            find_runs: Returns the runs that may be at work on the target.
+            find_executor: Returns the executor of the target's runs.
         """
         self.target = target
         self.clock = clock
         self.log = log
-        self.find_runs = find_runs
+        self.find_executor = find_executor
         self.failing_since: float | None = None
         self.was_ending = False
         self.crashed_born_ms = 0
@@ -65,17 +66,19 @@
         Args:
             is_refused: Whether it refuses connections, as no silent process does.
         """
-        if is_refused or self.crashed_born_ms != self.target.born_ms:
-            self._record_crash("refused" if is_refused else "silent")
+        if is_refused:
+            self._record_crash(CrashState.CONFIRMED, "refused")
+        else:
+            self._record_crash(CrashState.SUSPECTED, "silent")
 
     def record_listing(self, born_ms: int) -> None:
         """Records a reply of the target, before its effects are applied."""
         current = self.target.born_ms
         if current and born_ms != current:
-            self._record_crash("restarted")
+            self._record_crash(CrashState.CONFIRMED, "restarted")
         elif current and self.crashed_born_ms == current:
             self.crashed_born_ms = 0
-            self._log("withdrawn")
+            self._change_state(CrashState.WITHDRAWN, "withdrawn")
         self.failing_since = None
         self.was_ending = self._is_ending()
 
@@ -83,21 +86,31 @@
         report = self.target.report
         return report is None or report.is_draining
 
-    def _record_crash(self, evidence: str) -> None:
-        if self.was_ending or not self.find_runs():
+    def _record_crash(self, state: CrashState, evidence: str) -> None:
+        if self.crashed_born_ms == self.target.born_ms:
+            self._change_state(state, evidence)
             return
-        self.crashed_born_ms = self.target.born_ms
-        self._log(evidence)
-
-    def _log(self, evidence: str) -> None:
         at = self.clock() if self.failing_since is None else self.failing_since
+        executor = self.find_executor()
+        runs = executor.list_runs_at(at)
+        if self.was_ending or not runs:
+            return
+        self.crashed_born_ms = self.target.born_ms
+        suspects = find_suspects(runs)
+        executor.crashes.record(self.target.born_ms, at, state, runs, suspects)
         self.log.record(
             EventName.TARGET_CRASHED,
             born_ms=self.target.born_ms,
             evidence=evidence,
             noticed_ms=round(MS_PER_S * (self.clock() - at), 1),
-            ages_ms={
-                run.assignment.task: round(MS_PER_S * (at - run.start_sent_at), 1)
-                for run in self.find_runs()
-            },
+            ages_ms={run.task: round(MS_PER_S * run.age_s, 1) for run in runs},
+            suspects=[run.task for run in suspects],
+            on_trial=[run.task for run in suspects if run.is_on_trial],
         )
+
+    def _change_state(self, state: CrashState, evidence: str) -> None:
+        born_ms = self.target.born_ms
+        if self.find_executor().crashes.change_state(born_ms, state):
+            self.log.record(
+                EventName.TARGET_CRASHED, born_ms=born_ms, evidence=evidence
+            )
--- a/src/jackdawkeel/scheduling/entry_node.py
+++ b/src/jackdawkeel/scheduling/entry_node.py
@@ -142,7 +142,12 @@
         view = self.scheduler.handle_report(sender, message)
         if view is not None and message.is_full:
             beat = make_owner_beat(
-                message, view, self.views, self.registration.entry_list, self.operators
+                message,
+                view,
+                self.views,
+                self.registration.entry_list,
+                self.operators,
+                self.scheduler.crashes,
             )
             self.node.send(sender, beat)
 
--- a/src/jackdawkeel/scheduling/job_outcomes.py
+++ b/src/jackdawkeel/scheduling/job_outcomes.py
@@ -14,7 +14,9 @@
 if TYPE_CHECKING:
     from ..logs import EventLog
     from ..metrics import Metrics
+    from ..policy.crash_blame import CrashCounts
     from .job import Job
+    from .job import Task
     from .job_admission import Refusal
 
 
@@ -27,8 +29,8 @@
     """Jobs by outcome and queue.
 
     Attributes:
-        counts: Jobs answered in time and late, by queue, and refused, by queue and
-            reason.
+        counts: Jobs answered in time, late, and given up because a task crashes
+            targets, by queue, and refused, by queue and reason.
     """
 
     def __init__(self, log: EventLog) -> None:
@@ -39,6 +41,7 @@
                 CounterName.JOBS_IN_TIME,
                 CounterName.JOBS_LATE,
                 CounterName.JOBS_REFUSED,
+                CounterName.JOBS_GIVEN_UP,
             )
         }
 
@@ -69,6 +72,18 @@
             open_orders=open_orders,
         )
 
+    def record_given_up(self, job: Job, task: Task, counts: CrashCounts) -> None:
+        """Records that a job is about to end because a task crashes targets."""
+        self.counts[CounterName.JOBS_GIVEN_UP][job.queue.name] += 1
+        self.log.record(
+            EventName.TASK_GIVEN_UP,
+            job=job.spec.job_id,
+            task=task.name,
+            blamed=counts.blamed,
+            crashes=counts.total,
+            attempts=task.attempts,
+        )
+
     def record_ended(self, job: Job, took_s: float) -> None:
         """Records a job that has ended, after this time in seconds."""
         is_in_time: bool | None = None
--- a/src/jackdawkeel/scheduling/job_scheduler.py
+++ b/src/jackdawkeel/scheduling/job_scheduler.py
@@ -14,6 +14,7 @@
 from ..policy.waiting import would_end_too_late
 from .agent_connectivity import AgentConnectivity
 from .assignment_sender import AssignmentSender
+from .crash_records import CrashRecords
 from .job import Job
 from .job import JobResult
 from .job import TaskPhase
@@ -62,6 +63,7 @@
         assignments: Sends assignments to agents and records the open ones.
         connectivity: Detects outages of the connection to all agents.
         outcomes: Counts and logs how jobs end.
+        crashes: Crashes of targets, and the tasks that may have caused them.
     """
 
     def __init__(
@@ -106,11 +108,13 @@
         self.remote_slowdown = remote_slowdown
         self.connectivity = AgentConnectivity()
         self.outcomes = JobOutcomes(log)
+        self.crashes = CrashRecords(clock, log)
         self.assignments = AssignmentSender(
             clock=clock,
             log=log,
             views=views,
             run_times=self.run_times,
+            crashes=self.crashes,
             send=send,
             remote_slowdown=remote_slowdown,
         )
@@ -149,6 +153,9 @@
                 existing.waiters.append(waiter)
             return existing
         job = self._make_job(spec, queue, deadline_s)
+        if self._end_if_given_up(job):
+            waiter.set_result(None)
+            return job
         refusal = self._find_refusal(job)
         if refusal is not None:
             return refusal
@@ -296,6 +303,7 @@
                 EventName.CONNECTIVITY_RESTORED, outage_s=round(outage_s, 3)
             )
         view, replaced = self.views.record_report(sender, report)
+        self._receive_crashes(view, report)
         if replaced is not None:
             self.handle_lost_agent(replaced, "replaced", successor=sender.incarnation)
         for update in report.updates:
@@ -312,6 +320,12 @@
             self.schedule_soon()
         return view
 
+    def _receive_crashes(self, view: AgentView, report: AgentReport) -> None:
+        agent = view.address.incarnation
+        if self.crashes.receive(report.crashes, view.crashes, agent):
+            for job in list(self.jobs.values()):
+                self._end_if_given_up(job)
+
     def _apply_update(self, update: TaskUpdate, agent: str) -> None:
         assignment = self.assignments.open.by_number.get(update.number)
         if assignment is None or assignment.agent != agent:
@@ -365,6 +379,8 @@
                 self._end(job, result=JobResult.FAILED)
                 return
             task.phase = TaskPhase.READY
+            if self._end_if_given_up(job):
+                return
         self._requeue(job)
 
     def _requeue(self, job: Job) -> None:
@@ -411,6 +427,21 @@
 
     # End of jobs.
 
+    def _end_if_given_up(self, job: Job) -> bool:
+        """Ends a job as failed if one of its tasks must not start again."""
+        if not self.crashes.counts:
+            return False
+        for tasks in job.tasks:
+            for task in tasks:
+                if task.phase is TaskPhase.DONE:
+                    continue
+                if self.crashes.must_give_up(task.name):
+                    counts = self.crashes.counts[task.name]
+                    self.outcomes.record_given_up(job, task, counts)
+                    self._end(job, result=JobResult.FAILED)
+                    return True
+        return False
+
     def _end(
         self,
         job: Job,
@@ -448,6 +479,7 @@
             if now >= job.timing.deadline_at:
                 self._end_at_deadline(job)
         self._refuse_late_jobs(now)
+        self.crashes.drop_expired()
         self.assignments.resend_stops()
         self.schedule()
 
--- a/src/jackdawkeel/scheduling/owner_beats.py
+++ b/src/jackdawkeel/scheduling/owner_beats.py
@@ -14,6 +14,7 @@
     from ..messages.scheduling import AgentReport
     from .agent_views import AgentView
     from .agent_views import AgentViews
+    from .crash_records import CrashRecords
     from .operator_state import OperatorState
 
 
@@ -47,6 +48,7 @@
     views: AgentViews,
     entry_list: EntryList,
     operators: OperatorState,
+    crashes: CrashRecords,
 ) -> OwnerBeat:
     """Builds the reply to a full report and records which list of entries it contains.
 
@@ -68,4 +70,5 @@
         entries=entries,
         median_slowness=views.median_slowness(),
         change_interval_s=views.change_interval_s(),
+        crashes=crashes.collect(view.crashes, view.address.incarnation),
     )
--- a/src/jackdawkeel/scheduling/target_link.py
+++ b/src/jackdawkeel/scheduling/target_link.py
@@ -21,7 +21,6 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from collections.abc import Collection
 
     from ..clock import Clock
     from ..logs import EventLog
@@ -113,7 +112,7 @@
         self.clock = clock
         self.log = log
         self.executor: TaskExecutor | None = None
-        self.crashes = CrashWatch(target, clock, log, self._find_runs)
+        self.crashes = CrashWatch(target, clock, log, self._find_executor)
         self.acknowledged = 0
         self.lease_until = 0.0
         self.last_seen_at = 0.0
@@ -145,8 +144,8 @@
         )
         return self.executor
 
-    def _find_runs(self) -> Collection[TaskRun]:
-        return self.tasks.by_run.values()
+    def _find_executor(self) -> TaskExecutor:
+        return self.tasks
 
     def start(self, run: TaskRun, lease_until: float) -> None:
         """Sends a start and passes its outcome to the executor."""
--- a/src/jackdawkeel/scheduling/task_executor.py
+++ b/src/jackdawkeel/scheduling/task_executor.py
@@ -14,7 +14,9 @@
 
 from ..events import EventName
 from ..messages.scheduling import TaskStatus
+from ..policy.crash_blame import RunAtCrash
 from .attempts import AttemptNumbers
+from .crash_records import CrashRecords
 from .leases import OWNER_LEASE_S
 from .leases import STOP_EFFECT_TIMEOUT_S
 from .leases import TARGET_LEASE_S
@@ -64,6 +66,7 @@
 STOP_RESEND_INTERVAL_S = 0.1
 MS_PER_S = 1000
 LATE_ASSIGNMENT = "the assignment is older than the lease of its entry"
+CRASHES_TARGETS = "the task crashes the targets that start it"
 
 END_STATUS = {
     EndKind.DONE: TaskStatus.DONE,
@@ -78,6 +81,7 @@
     Attributes:
         leases: The entries that own the assignments.
         quality: Judges the target and its runs.
+        crashes: Crashes of targets, and the tasks that may have caused them.
         stop_requested_at: When a stop was first sent for each run that has not ended,
             in seconds of the clock.
         counts: Number of ended assignments by status.
@@ -119,6 +123,7 @@
         self.claimed = Resources()
         self.attempts = AttemptNumbers()
         self.quality = RunQuality()
+        self.crashes = CrashRecords(clock, log)
         self.paused_until = 0.0
         self.next_stop_at: dict[Run, float] = {}
         self.stop_requested_at: dict[Run, float] = {}
@@ -135,6 +140,23 @@
             waiting = waiting.plus(run.assignment.demand)
         return self.target.capacity.minus(self.claimed).minus(waiting)
 
+    def has_trial(self) -> bool:
+        """Returns whether a run that may have crashed a target is on trial."""
+        now = self.clock()
+        return any(run.is_on_trial(now) for run in self.by_run.values())
+
+    def list_runs_at(self, at: float) -> list[RunAtCrash]:
+        """Returns the runs that may have been at work on the target at a time.
+
+        Args:
+            at: The time, in seconds of the clock.
+        """
+        return [
+            RunAtCrash(run.assignment.task, at - run.start_sent_at, run.is_on_trial(at))
+            for run in self.by_run.values()
+            if run.phase is not RunPhase.STOPPED and run.start_sent_at <= at
+        ]
+
     def latest_lease_end(self) -> float:
         """Returns until when the lease of the target may extend; infinite without runs.
 
@@ -183,6 +205,12 @@
             if reason is not None:
                 self._refuse(run, reason)
                 continue
+            if self.crashes.must_give_up(assignment.task):
+                self._refuse(run, CRASHES_TARGETS, TaskStatus.REJECTED)
+                continue
+            run.trial_s = max(
+                assignment.trial_ms / MS_PER_S, self.crashes.trial_s(assignment.task)
+            )
             owner.runs[assignment.number] = run
             earlier = self.by_task.get(assignment.task)
             if earlier is not None:
@@ -195,7 +223,9 @@
             return LATE_ASSIGNMENT
         return self.target.find_refusal(now)
 
-    def _refuse(self, run: TaskRun, reason: str) -> None:
+    def _refuse(
+        self, run: TaskRun, reason: str, status: TaskStatus = TaskStatus.NOT_STARTED
+    ) -> None:
         self.log.record(
             EventName.TASK_REFUSED,
             job=run.job_id,
@@ -203,7 +233,7 @@
             order=run.assignment.number,
             reason=reason,
         )
-        self._finish(run, TaskStatus.NOT_STARTED)
+        self._finish(run, status)
 
     def start_waiting(self) -> None:
         """Starts the assignments that fit, in order of priority and arrival."""
@@ -232,6 +262,8 @@
             return False
         free = self.target.capacity.minus(self.claimed)
         can_start = now < self.latest_lease_end()
+        if run.trial_s and self.has_trial():
+            can_start = False
         if not can_start or not free.can_fit(run.assignment.demand):
             if now >= run.start_by:
                 self._refuse(run, "no room in time")
@@ -444,6 +476,7 @@
         """
         now = self.clock()
         self.quality.refresh(now, self.by_run.values())
+        self.crashes.drop_expired()
         self.leases.expire_due()
         for run in list(self.by_run.values()):
             due = self.next_stop_at.get(run.run, now)
--- a/src/jackdawkeel/scheduling/task_run.py
+++ b/src/jackdawkeel/scheduling/task_run.py
@@ -81,6 +81,8 @@
         is_cancelled: Whether its owner or the agent has requested its end.
         stop_causes: Why it was stopped, in order; each cause is contained once.
         first_stop_at: When it was first stopped; 0 before.
+        trial_s: How long it is on trial after its start because its task may have
+            crashed a target, in seconds; 0 if the task is no suspect.
     """
 
     owner: Owner
@@ -103,6 +105,7 @@
     is_cancelled: bool = False
     stop_causes: list[StopCause] = field(default_factory=list)
     first_stop_at: float = 0.0
+    trial_s: float = 0.0
 
     @property
     def run(self) -> Run:
@@ -119,6 +122,10 @@
         """Whether the target may hold capacity for it."""
         return self.phase not in (RunPhase.WAITING, RunPhase.ENDED)
 
+    def is_on_trial(self, at: float) -> bool:
+        """Returns whether a crash of the target at a time would be blamed on it."""
+        return self.claims_capacity and at < self.start_sent_at + self.trial_s
+
     def add_stop_cause(self, cause: StopCause, now: float) -> bool:
         """Records why it is stopped and returns whether the cause is new."""
         if cause in self.stop_causes:
--- a/tests/scheduling/test_crash_watch.py
+++ b/tests/scheduling/test_crash_watch.py
@@ -32,7 +32,7 @@
         self.lines: list[bytes] = []
         watch = self.link.crashes
         self.link.crashes = CrashWatch(
-            watch.target, watch.clock, make_log(self.lines), watch.find_runs
+            watch.target, watch.clock, make_log(self.lines), watch.find_executor
         )
         self.deliver_listing(1)
 
@@ -68,6 +68,15 @@
         expected = {"task-1": 300 + 1000 * TICK_S, "task-2": 1000 * TICK_S}
         self.assertEqual(crash["ages_ms"], expected)
 
+    def test_a_start_after_calls_began_to_fail_is_not_blamed(self) -> None:
+        self.assign(1)
+        self.fail_calls(TargetFailure.NO_ANSWER, TICK_S)
+        self.clock.advance(TICK_S)
+        self.send_assignment(2, ENTRY)
+        self.fail_calls(TargetFailure.UNREACHABLE)
+        [crash] = self.crashes()
+        self.assertEqual(list(crash["ages_ms"]), ["task-1"])
+
     def test_a_silent_target_that_replies_again_has_not_crashed(self) -> None:
         self.assign(1)
         self.fail_calls(TargetFailure.NO_ANSWER)
--- a/tests/scheduling/test_job_scheduler.py
+++ b/tests/scheduling/test_job_scheduler.py
@@ -95,7 +95,9 @@
         )
 
 
-class JobSchedulerTest(unittest.TestCase):
+class JobSchedulerTestCase(unittest.TestCase):
+    """Base of the tests of a scheduler with one agent."""
+
     def setUp(self) -> None:
         self.loop = asyncio.new_event_loop()
         self.addCleanup(self.loop.close)
@@ -175,6 +177,8 @@
         self.outbox.sent.clear()
         return numbers
 
+
+class JobSchedulerTest(JobSchedulerTestCase):
     def test_a_job_ends_when_all_its_tasks_are_done(self) -> None:
         job, waiter = self.submit()
         assert isinstance(job, Job)
--- a/tests/scheduling/test_owner_beats.py
+++ b/tests/scheduling/test_owner_beats.py
@@ -10,6 +10,7 @@
 from jackdawkeel.messages.scheduling import AgentReport
 from jackdawkeel.messages.scheduling import TargetView
 from jackdawkeel.scheduling.agent_views import AgentViews
+from jackdawkeel.scheduling.crash_records import CrashRecords
 from jackdawkeel.scheduling.leases import REPORT_INTERVAL_S
 from jackdawkeel.scheduling.operator_keys import OperatorKeys
 from jackdawkeel.scheduling.operator_state import OperatorState
@@ -58,7 +59,12 @@
         )
         view, _ = self.views.record_report(AGENT, report)
         return make_owner_beat(
-            report, view, self.views, self.entry_list, self.operators
+            report,
+            view,
+            self.views,
+            self.entry_list,
+            self.operators,
+            CrashRecords(self.clock, make_log()),
         )
 
     def test_list_of_entries_is_sent_once_until_it_changes(self) -> None:
--- /dev/null
+++ b/tests/scheduling/test_suspect_tasks.py
@@ -0,0 +1,150 @@
+"""Tests of tasks that may have crashed a target, at entries and at agents.
+
+They guard against tasks that crash target after target, and against several suspects
+on one target, which a second crash could not tell apart.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from jackdawkeel.messages.scheduling import CrashExchange
+from jackdawkeel.messages.scheduling import CrashState
+from jackdawkeel.messages.scheduling import TargetCrash
+from jackdawkeel.messages.scheduling import TaskStatus
+from jackdawkeel.policy.crash_blame import RunAtCrash
+from jackdawkeel.scheduling.job import Job
+from jackdawkeel.scheduling.job import JobResult
+from tests.scheduling.test_job_scheduler import FakeAgent
+from tests.scheduling.test_job_scheduler import JobSchedulerTestCase
+from tests.scheduling.test_job_scheduler import make_job
+from tests.scheduling.test_task_executor import ENTRY
+from tests.scheduling.test_task_executor import OTHER_ENTRY
+from tests.scheduling.test_task_executor import ExecutorTestCase
+from tests.scheduling.test_task_executor import make_assignment
+
+
+AGE_MS = 10
+TRIAL_MS = 200
+
+
+class SuspectsAtEntryTest(JobSchedulerTestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.other = FakeAgent("b", 2, self.clock)
+        self.deliver(self.other)
+        self.crashes: list[TargetCrash] = []
+        self.spec = make_job(3)
+        self.tasks = [f"{self.spec.job_id}/0/{index}" for index in range(3)]
+
+    def report_crash(self, *suspects: str) -> None:
+        """Delivers a report with one more crash of a target."""
+        born_ms = len(self.crashes) + 1
+        ages = dict.fromkeys(suspects, AGE_MS)
+        state = CrashState.CONFIRMED
+        self.crashes.append(TargetCrash("other", born_ms, state, 0, ages, []))
+        exchange = CrashExchange(self.crashes, born_ms, 0)
+        report = msgspec.structs.replace(self.agent.report(), crashes=exchange)
+        self.scheduler.handle_report(self.agent.address, report)
+        self.scheduler.schedule()
+
+    def test_suspects_are_assigned_one_to_a_target(self) -> None:
+        self.report_crash(*self.tasks)
+        self.accept(self.spec)
+        assignments = self.pop_assignments()
+        self.assertEqual(
+            {agent for agent, _ in assignments},
+            {self.agent.address, self.other.address},
+        )
+        self.assertEqual(len(assignments), 2)
+        self.assertTrue(all(assignment.trial_ms for _, assignment in assignments))
+
+    def test_suspects_that_wait_for_a_trial_are_no_shortage(self) -> None:
+        self.report_crash(*self.tasks)
+        self.accept(self.spec)
+        self.assertEqual(self.scheduler.queue.short_since, {})
+
+    def test_a_suspect_starts_when_the_trial_of_another_has_ended(self) -> None:
+        self.report_crash(*self.tasks)
+        self.accept(self.spec)
+        (_, first), *_ = [
+            item for item in self.pop_assignments() if item[0] == self.agent.address
+        ]
+        self.agent.seen = first.number
+        self.deliver(self.agent, (first.number, TaskStatus.DONE))
+        self.assertEqual(len(self.pop_assignments()), 1)
+
+    def test_other_tasks_start_beside_a_trial(self) -> None:
+        self.report_crash(*self.tasks)
+        self.accept(self.spec)
+        self.pop_assignments()
+        self.accept(make_job(2, "1" * 16))
+        self.assertEqual(len(self.pop_assignments()), 2)
+
+    def test_a_job_with_a_task_that_crashes_targets_ends_as_failed(self) -> None:
+        job = self.accept(self.spec)
+        self.report_crash(self.tasks[0])
+        self.assertFalse(job.has_ended)
+        self.report_crash(self.tasks[0])
+        self.assertEqual(job.result, JobResult.FAILED)
+        self.assertEqual(len(self.pop_stops()), 3)
+
+    def test_a_resubmitted_job_is_not_started_if_another_entry_gave_it_up(
+        self,
+    ) -> None:
+        self.report_crash(self.tasks[0])
+        self.report_crash(self.tasks[0])
+        job, waiter = self.submit(self.spec)
+        assert isinstance(job, Job)
+        self.assertEqual(job.result, JobResult.FAILED)
+        self.assertTrue(waiter.done())
+        self.assertEqual(self.pop_assignments(), [])
+
+
+class SuspectsAtAgentTest(ExecutorTestCase):
+    def crash(self, born_ms: int, task: str) -> None:
+        """Records a crash that an entry has reported."""
+        run = RunAtCrash(task, AGE_MS / 1000, is_on_trial=False)
+        crashes = self.executor.crashes
+        crashes.record(born_ms, self.clock(), CrashState.CONFIRMED, [run], [run])
+
+    def test_a_second_suspect_is_returned_during_a_trial(self) -> None:
+        first, second = (
+            msgspec.structs.replace(make_assignment(number, wait_ms=0), trial_ms=200)
+            for number in (1, 2)
+        )
+        self.assign(first)
+        self.assign(second, entry=OTHER_ENTRY)
+        self.assertEqual(self.started_tasks(), ["task-1"])
+        self.assertEqual(self.statuses(OTHER_ENTRY), [(2, TaskStatus.NOT_STARTED)])
+
+    def test_a_second_suspect_starts_after_the_trial(self) -> None:
+        for number in (1, 2):
+            assignment = make_assignment(number, wait_ms=0)
+            self.assign(msgspec.structs.replace(assignment, trial_ms=TRIAL_MS))
+            self.confirm(*self.started)
+            self.clock.advance(TRIAL_MS / 1000)
+            self.executor.leases.renew(ENTRY, self.clock())
+        self.assertEqual(self.started_tasks(), ["task-1", "task-2"])
+
+    def test_a_task_that_crashes_targets_is_not_started_for_any_entry(self) -> None:
+        self.crash(1, "task-1")
+        self.crash(2, "task-1")
+        self.assign(make_assignment(1), entry=OTHER_ENTRY)
+        self.assertEqual(self.started, [])
+        self.assertEqual(self.statuses(OTHER_ENTRY), [(1, TaskStatus.REJECTED)])
+
+    def test_a_suspect_of_an_entry_that_does_not_know_the_crash_is_on_trial(
+        self,
+    ) -> None:
+        self.crash(1, "task-1")
+        self.assign(make_assignment(1))
+        self.assertTrue(self.executor.has_trial())
+
+    def test_a_crash_during_a_trial_is_blamed_on_the_suspect(self) -> None:
+        assignment = msgspec.structs.replace(make_assignment(1), trial_ms=TRIAL_MS)
+        self.assign(assignment, make_assignment(2))
+        runs = self.executor.list_runs_at(self.clock() + TRIAL_MS / 2000)
+        self.assertEqual([run.is_on_trial for run in runs], [True, False])
+        runs = self.executor.list_runs_at(self.clock() + TRIAL_MS / 1000)
+        self.assertEqual([run.is_on_trial for run in runs], [False, False])
