Do not count refused renewals of a target's lease as granted

Callers of the tasks beside one that crashes its target waited 1.1 s until these were started elsewhere. Cause: each renewal of the lease that the agent tried while the target refused connections, for up to 0.6 s, counted as granted, although a refused connection carries no call. Now a renewal counts unless it was refused; one without a reply still does. The new test failed before (a run left 0.6 s after its lease).

--- a/src/jackdawkeel/scheduling/target_link.py
+++ b/src/jackdawkeel/scheduling/target_link.py
@@ -94,6 +94,8 @@
 
     Attributes:
         crashes: Notices crashes of the target.
+        lease_until: Latest end of a lease that the target may have granted, in seconds
+            of the clock; a renewal that is under way is not included.
         starts: Starts of this iteration of the event loop, not sent yet.
         is_polling: Whether an immediate listing is pending.
         is_poll_wanted: Whether another one is to follow it.
@@ -259,6 +261,8 @@
 
     def _handle_hold(self, call: HoldCall, answer: Listing | TargetFailure) -> None:
         pause_s = 0.0
+        if answer is not TargetFailure.UNREACHABLE:
+            self.lease_until = max(self.lease_until, call.lease_until or 0.0)
         try:
             if isinstance(answer, Listing):
                 self._apply_listing(answer, call.requested_at)
@@ -305,10 +309,7 @@
         if is_silent or not self.target.is_prepared:
             return None
         lease_until = min(now + TARGET_LEASE_S, self.tasks.latest_lease_end())
-        if lease_until <= now:
-            return None
-        self.lease_until = max(self.lease_until, lease_until)
-        return lease_until
+        return lease_until if lease_until > now else None
 
     def _apply_listing(self, listing: Listing, requested_at: float) -> None:
         is_other_incarnation = listing.born_ms != self.target.born_ms
--- a/tests/scheduling/test_target_link.py
+++ b/tests/scheduling/test_target_link.py
@@ -12,6 +12,7 @@
 import unittest
 from typing import TYPE_CHECKING
 from typing import Any
+from unittest.mock import Mock
 
 from jackdawkeel.messages.scheduling import JobAssignments
 from jackdawkeel.messages.scheduling import StartTasks
@@ -21,6 +22,7 @@
 from jackdawkeel.scheduling.leases import REPORT_INTERVAL_S
 from jackdawkeel.scheduling.leases import TARGET_LEASE_S
 from jackdawkeel.scheduling.resources import Resources
+from jackdawkeel.scheduling.target_link import HoldCall
 from jackdawkeel.scheduling.target_link import TargetLink
 from jackdawkeel.scheduling.target_report import TargetReport
 from jackdawkeel.scheduling.target_runtime import Listing
@@ -313,6 +315,39 @@
         self.assertEqual(self.statuses(), [(1, TaskStatus.LOST)])
 
 
+class RefusedRenewalTest(TargetLinkTestCase):
+    """The target has crashed: it refuses connections, or does not reply."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.link.loop = Mock()
+
+    def fail_holds(self, failure: TargetFailure, seconds: float) -> None:
+        """Lets renewals fail, while the owner renews its lease."""
+        for _ in range(round(seconds / TICK_S)):
+            now = self.clock()
+            self.executor.leases.renew(ENTRY, now)
+            call = HoldCall(now, self.link.choose_lease_end(now), HOLD_INTERVAL_S)
+            self.clock.advance(TICK_S)
+            self.link._handle_hold(call, failure)
+
+    def test_refused_renewals_do_not_delay_the_loss_of_runs(self) -> None:
+        self.renew_lease()
+        self.assign(1)
+        self.fail_holds(TargetFailure.UNREACHABLE, TARGET_LEASE_S - TICK_S)
+        self.assertEqual(len(self.executor.by_run), 1)
+        self.fail_holds(TargetFailure.UNREACHABLE, 3 * TICK_S)
+        self.assertEqual(len(self.executor.by_run), 0)
+
+    def test_renewals_without_a_reply_may_have_extended_the_lease(self) -> None:
+        self.renew_lease()
+        self.assign(1)
+        lost_at = self.clock() + HOLD_INTERVAL_S + TARGET_LEASE_S
+        self.fail_holds(TargetFailure.NO_ANSWER, HOLD_INTERVAL_S + TICK_S)
+        self.fail_holds(TargetFailure.UNREACHABLE, lost_at - self.clock())
+        self.assertEqual(len(self.executor.by_run), 1)
+
+
 class StrictClock(FakeClock):
     """A clock of which no two readings are equal; threads may read it."""
 
