Blame no task for a crash if the target had not confirmed its start

Cause: its start had been sent 0.8 ms before the crash of another target, got no reply and never arrived, but counted as a crash. Such a start makes its task a suspect, so that its next run is on trial, but only confirmed runs count towards the two crashes after which a task is given up; the limit of four counts both, for tasks that crash a target before it replies. 303 tests of scheduling and policy pass.

--- a/src/jackdawkeel/messages/scheduling.py
+++ b/src/jackdawkeel/messages/scheduling.py
@@ -39,6 +39,24 @@
     """The incarnation has replied again."""
 
 
+class CrashedRun(msgspec.Struct, frozen=True, array_like=True):
+    """A run that may have been at work on a target when it crashed.
+
+    Attributes:
+        task: Name of its task.
+        queue: Queue of its job.
+        age_ms: Time since its start, in milliseconds.
+        is_suspect: Whether it may have caused the crash.
+        is_confirmed: Whether the target had confirmed its start.
+    """
+
+    task: str
+    queue: str
+    age_ms: int
+    is_suspect: bool
+    is_confirmed: bool
+
+
 class TargetCrash(msgspec.Struct, frozen=True, array_like=True):
     """A crash of a target, and the tasks that may have been at work on it.
 
@@ -47,17 +65,14 @@
         born_ms: The incarnation of the target.
         state: A value of ``CrashState``.
         age_ms: Time since the crash, in milliseconds.
-        suspects: Tasks that may have caused it, with the age of the run in
-            milliseconds.
-        others: The other tasks.
+        runs: The runs that may have been at work on it.
     """
 
     agent: str
     born_ms: int
     state: int
     age_ms: int
-    suspects: dict[str, int]
-    others: list[str]
+    runs: list[CrashedRun]
 
 
 class CrashExchange(msgspec.Struct, frozen=True, array_like=True):
--- a/src/jackdawkeel/policy/crash_blame.py
+++ b/src/jackdawkeel/policy/crash_blame.py
@@ -39,13 +39,18 @@
 
     Attributes:
         task: Name of its task.
+        queue: Queue of its job.
         age_s: Time since its start, in seconds.
         is_on_trial: Whether it was on trial.
+        is_confirmed: Whether the target had confirmed its start. A start without a
+            reply may not have arrived before the crash.
     """
 
     task: str
+    queue: str
     age_s: float
     is_on_trial: bool
+    is_confirmed: bool
 
 
 @dataclass(slots=True)
@@ -53,8 +58,8 @@
     """The crashes that are known to have ended runs of one task.
 
     Attributes:
-        blamed: Crashes that it may have caused.
-        total: All crashes.
+        blamed: Crashes that it may have caused, during confirmed runs.
+        total: All crashes, also those during starts without a reply.
         oldest_s: Largest age of its runs at a crash that it may have caused, in
             seconds; None if there is none.
     """
--- a/src/jackdawkeel/scheduling/crash_records.py
+++ b/src/jackdawkeel/scheduling/crash_records.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from ..messages.scheduling import CrashedRun
 from ..messages.scheduling import CrashExchange
 from ..messages.scheduling import CrashState
 from ..messages.scheduling import TargetCrash
@@ -120,10 +121,23 @@
             runs: All runs that may have been at work on it.
             suspects: Those of them that may have caused it.
         """
-        ages = {run.task: round(MS_PER_S * run.age_s) for run in suspects}
-        others = [run.task for run in runs if run.task not in ages]
-        age_ms = round(MS_PER_S * (self.clock() - crashed_at))
-        crash = TargetCrash(self.log.incarnation, born_ms, state, age_ms, ages, others)
+        suspected = {run.task for run in suspects}
+        crash = TargetCrash(
+            self.log.incarnation,
+            born_ms,
+            state,
+            round(MS_PER_S * (self.clock() - crashed_at)),
+            [
+                CrashedRun(
+                    run.task,
+                    run.queue,
+                    round(MS_PER_S * run.age_s),
+                    run.task in suspected,
+                    run.is_confirmed,
+                )
+                for run in runs
+            ],
+        )
         self.merge([crash], source="")
 
     def change_state(self, born_ms: int, state: CrashState) -> bool:
@@ -226,16 +240,14 @@
             crash = record.crash
             if crash.state == CrashState.WITHDRAWN:
                 continue
-            is_confirmed = crash.state == CrashState.CONFIRMED
-            for task, age_ms in crash.suspects.items():
-                counts = self.counts.setdefault(task, CrashCounts())
-                counts.blamed += is_confirmed
-                counts.total += is_confirmed
-                age_s = age_ms / MS_PER_S
-                counts.oldest_s = max(age_s, counts.oldest_s or 0.0)
-            for task in crash.others:
-                counts = self.counts.setdefault(task, CrashCounts())
-                counts.total += is_confirmed
+            is_certain = crash.state == CrashState.CONFIRMED
+            for run in crash.runs:
+                counts = self.counts.setdefault(run.task, CrashCounts())
+                counts.total += is_certain
+                if run.is_suspect:
+                    counts.blamed += is_certain and run.is_confirmed
+                    age_s = run.age_ms / MS_PER_S
+                    counts.oldest_s = max(age_s, counts.oldest_s or 0.0)
 
 
 def _with_state(crash: TargetCrash, state: int, age_s: float) -> TargetCrash:
--- a/src/jackdawkeel/scheduling/task_executor.py
+++ b/src/jackdawkeel/scheduling/task_executor.py
@@ -152,7 +152,13 @@
             at: The time, in seconds of the clock.
         """
         return [
-            RunAtCrash(run.assignment.task, at - run.start_sent_at, run.is_on_trial(at))
+            RunAtCrash(
+                run.assignment.task,
+                run.queue,
+                at - run.start_sent_at,
+                run.is_on_trial(at),
+                is_confirmed=bool(run.started_at or run.listed_at),
+            )
             for run in self.by_run.values()
             if run.phase is not RunPhase.STOPPED and run.start_sent_at <= at
         ]
--- a/tests/policy/test_crash_blame.py
+++ b/tests/policy/test_crash_blame.py
@@ -22,7 +22,7 @@
     task: str, age_s: float = 0.01, *, is_on_trial: bool = False
 ) -> RunAtCrash:
     """Builds a run on a crashed target."""
-    return RunAtCrash(task, age_s, is_on_trial)
+    return RunAtCrash(task, "queue", age_s, is_on_trial, is_confirmed=True)
 
 
 def names(runs: list[RunAtCrash]) -> list[str]:
--- a/tests/scheduling/test_crash_records.py
+++ b/tests/scheduling/test_crash_records.py
@@ -9,6 +9,7 @@
 import unittest
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 
 from jackdawkeel.messages.scheduling import CrashState
 from jackdawkeel.policy.crash_blame import RunAtCrash
@@ -20,8 +21,9 @@
 from tests.fakes import make_log
 
 
-RUN = RunAtCrash("task", 0.01, is_on_trial=False)
-BYSTANDER = RunAtCrash("bystander", 1.0, is_on_trial=False)
+RUN = RunAtCrash("task", "queue", 0.01, is_on_trial=False, is_confirmed=True)
+BYSTANDER = replace(RUN, task="bystander", age_s=1.0)
+UNCONFIRMED = replace(RUN, is_confirmed=False)
 
 
 @dataclass(eq=False)
@@ -103,6 +105,20 @@
         self.crash(4)
         self.assertTrue(self.agent.records.must_give_up("bystander"))
 
+    def test_starts_without_a_reply_do_not_count_as_crashes_under_the_task(
+        self,
+    ) -> None:
+        for born_ms in (1, 2, 3):
+            self.agent.records.record(
+                born_ms,
+                self.clock(),
+                CrashState.CONFIRMED,
+                [UNCONFIRMED],
+                [UNCONFIRMED],
+            )
+            self.assertFalse(self.agent.records.must_give_up("task"))
+        self.assertGreater(self.agent.records.trial_s("task"), 0.0)
+
     def test_silence_makes_suspects_but_does_not_count(self) -> None:
         for born_ms in (1, 2, 3):
             self.crash(born_ms, CrashState.SUSPECTED)
--- a/tests/scheduling/test_suspect_tasks.py
+++ b/tests/scheduling/test_suspect_tasks.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from jackdawkeel.messages.scheduling import CrashedRun
 from jackdawkeel.messages.scheduling import CrashExchange
 from jackdawkeel.messages.scheduling import CrashState
 from jackdawkeel.messages.scheduling import TargetCrash
@@ -40,9 +41,9 @@
     def report_crash(self, *suspects: str) -> None:
         """Delivers a report with one more crash of a target."""
         born_ms = len(self.crashes) + 1
-        ages = dict.fromkeys(suspects, AGE_MS)
+        runs = [CrashedRun(task, "q", AGE_MS, True, True) for task in suspects]
         state = CrashState.CONFIRMED
-        self.crashes.append(TargetCrash("other", born_ms, state, 0, ages, []))
+        self.crashes.append(TargetCrash("other", born_ms, state, 0, runs))
         exchange = CrashExchange(self.crashes, born_ms, 0)
         report = msgspec.structs.replace(self.agent.report(), crashes=exchange)
         self.scheduler.handle_report(self.agent.address, report)
@@ -104,7 +105,8 @@
 class SuspectsAtAgentTest(ExecutorTestCase):
     def crash(self, born_ms: int, task: str) -> None:
         """Records a crash that an entry has reported."""
-        run = RunAtCrash(task, AGE_MS / 1000, is_on_trial=False)
+        age_s = AGE_MS / 1000
+        run = RunAtCrash(task, "q", age_s, is_on_trial=False, is_confirmed=True)
         crashes = self.executor.crashes
         crashes.record(born_ms, self.clock(), CrashState.CONFIRMED, [run], [run])
 
