Soak: tasks that crash each target that starts them

A fault makes a share of all tasks deadly; the checker counts the starts of each task after its third crash.

--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -19,6 +19,7 @@
     from tests.soak.faults import Disruptions
     from tests.soak.faults import EnforcementWindow
     from tests.standins.platform_fleet import PlatformFleet
+    from tests.standins.platform_target import RunRecord
 
 
 # Time bounds of the documented guarantees, in seconds.
@@ -29,6 +30,9 @@
 # While an entry shuts down or its store connection has a fault, a request may stay
 # unanswered only if it fails within this time.
 CONNECTION_LOSS_SLACK_S = 0.2
+# Starts of a task that are allowed after it has crashed this number of targets.
+CRASHES_BEFORE_LIMIT = 3
+MAX_STARTS_AFTER_LIMIT = 2
 POLL_INTERVAL_S = 0.2
 MAX_FINDINGS = 20
 INTERNAL_ERROR_STATUS = 500
@@ -123,6 +127,7 @@
         started = Counter(run.task[:16] for run in self.fleet.runs())
         done = {run.task for run in self.fleet.runs() if run.end_kind == "done"}
         done_count = Counter(task[:16] for task in done)
+        self._check_crashes()
         for job in self.callers.jobs:
             if job.is_refused and started[job.job_id]:
                 self.add_finding(f"refused, but started: {job}")
@@ -140,6 +145,22 @@
                     window, MAX_EVACUATION_DELAY_S, "started though evacuated"
                 )
 
+    def _check_crashes(self) -> None:
+        by_task: dict[str, list[RunRecord]] = {}
+        for run in self.fleet.runs():
+            by_task.setdefault(run.task, []).append(run)
+        for task, runs in by_task.items():
+            crashed_at = sorted(run.ended_at for run in runs if run.crashed_target)
+            if len(crashed_at) < CRASHES_BEFORE_LIMIT:
+                continue
+            limited_from = crashed_at[CRASHES_BEFORE_LIMIT - 1]
+            starts = sum(run.started_at > limited_from for run in runs)
+            if starts > MAX_STARTS_AFTER_LIMIT:
+                self.add_finding(
+                    f"{task} crashed {len(crashed_at)} targets, {starts} starts too"
+                    " late to be allowed"
+                )
+
     def _check_attempt(self, job: SoakJob, attempt: Attempt) -> None:
         if attempt.status == INTERNAL_ERROR_STATUS:
             self.add_finding(f"failed inside: {job}")
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -40,6 +40,10 @@
 ALL_ENTRIES_PROBABILITY = 0.5
 # Notice of targets that are reclaimed, in seconds.
 SHORT_NOTICE_RANGE_S = (1.7, 2.2)
+DEADLY_SHARE_RANGE = (0.02, 0.15)
+MAX_CRASH_DELAY_S = 0.05
+# Time from a crash by a task to the target's next incarnation, in seconds.
+RESTART_RANGE_S = (0.5, 2.0)
 CLOCK_RATE_RANGE = (0.97, 1.03)
 STORE = "store"
 SILENT_CONNECTIONS = "silent connections"
@@ -351,6 +355,22 @@
     return do_nothing
 
 
+def deadly_tasks(disruptions: Disruptions, rng: random.Random) -> EndFault:
+    """Makes a share of the tasks crash each target that starts them."""
+    all_faults = [agent.target.faults for agent in disruptions.fleet.agents]
+    share = rng.uniform(*DEADLY_SHARE_RANGE)
+    for faults in all_faults:
+        faults.crash_delay_s = rng.uniform(0.0, MAX_CRASH_DELAY_S)
+        faults.restart_s = rng.uniform(*RESTART_RANGE_S)
+        faults.deadly_share = share
+
+    def end() -> None:
+        for faults in all_faults:
+            faults.deadly_share = 0.0
+
+    return end
+
+
 def drain_target(disruptions: Disruptions, rng: random.Random) -> EndFault:
     """Makes a target report that it drains."""
     index = rng.randrange(len(disruptions.fleet.agents))
@@ -437,4 +457,5 @@
     "hold_callers": hold_callers,
     "hold_links": hold_links,
     "reclaim_target": reclaim_target,
+    "deadly_tasks": deadly_tasks,
 }
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -47,6 +47,10 @@
 LATE_REQUEST_SEEDS = {1725: ("pause_many", "hold_callers"), 2050: ("hold_callers",)}
 LATE_REQUEST_SIZE = SoakSize(entries=2, agents=6, callers=16)
 LATE_REQUEST_LEAVING_SHARE = 0.8
+# Tasks that crash targets, while entries and agents are killed.
+DEADLY_SEEDS = (2801, 2802)
+DEADLY_KINDS = ("deadly_tasks", "deadly_tasks", "kill", "crash_target")
+DEADLY_SIZE = SoakSize(entries=2, agents=6, callers=8)
 JOB_ID = "0" * 16
 
 
@@ -79,6 +83,20 @@
                 self.assertEqual([], report.findings)
                 self.assertTrue(report.jobs["completed"])
 
+    def test_crashing_tasks_are_given_up_while_processes_are_killed(self) -> None:
+        for seed in DEADLY_SEEDS:
+            with self.subTest(seed):
+                report = run_soak(
+                    seed,
+                    SOAK_DURATION_S,
+                    DEADLY_SIZE,
+                    checks_time_bounds=False,
+                    kinds=list(DEADLY_KINDS),
+                    leaving_share=0.0,
+                )
+                self.assertEqual([], report.findings)
+                self.assertTrue(report.jobs["completed"])
+
 
 class PlanTest(unittest.TestCase):
     def test_plan_is_determined_by_its_seed(self) -> None:
@@ -145,6 +163,15 @@
         self.record_answer(503)
         self.assertIn("refused, but started", self.check_one_finding())
 
+    def test_task_that_is_started_again_after_five_crashes_is_found(self) -> None:
+        for attempt in range(1, 7):
+            self.record_run(100.0 + attempt, 100.5 + attempt, attempt)
+            self.runs[-1].crashed_target = attempt < 6
+            if attempt == 5:
+                self.checker.check_records()
+                self.assertEqual([], self.checker.findings)
+        self.assertIn("crashed 5 targets, 3 starts", self.check_one_finding())
+
     def test_completed_job_with_missing_runs_is_found(self) -> None:
         self.record_answer(200, "completed")
         self.assertIn("completed with 0 done", self.check_one_finding())
--- a/tests/standins/platform_target.py
+++ b/tests/standins/platform_target.py
@@ -5,6 +5,7 @@
 import json
 import threading
 import time
+import zlib
 from dataclasses import dataclass
 from dataclasses import field
 from typing import TYPE_CHECKING
@@ -29,6 +30,7 @@
 RUN_CHECK_INTERVAL_S = 0.005
 HEARTBEAT_INTERVAL_S = 0.3
 MAX_LEASE_S = 1.0
+MAX_CRC32 = 2**32
 DEFAULT_RUN_S = 0.1
 
 
@@ -46,6 +48,7 @@
         ended_at: End time on the same clock; 0 while the task runs.
         end_kind: How it ended, as named by the platform, or ``crashed``; empty while
             the task runs.
+        crashed_target: Whether it has crashed the target.
     """
 
     task: str
@@ -55,6 +58,7 @@
     started_at: float
     ended_at: float = 0.0
     end_kind: str = ""
+    crashed_target: bool = False
 
 
 @dataclass(slots=True)
@@ -72,6 +76,7 @@
             ``release_starts``.
         ignore_stops: Whether stops have no effect and get no answer.
         deadly_tasks: Tasks that crash the target ``crash_delay_s`` after their start.
+        deadly_share: Share of the other tasks, by a hash of their names, that do so.
         crash_delay_s: Time from the start of such a task to the crash, in seconds.
         restart_s: Time from such a crash to the next incarnation, in seconds; the
             target refuses connections meanwhile.
@@ -87,10 +92,16 @@
     retain_starts: int = 0
     ignore_stops: bool = False
     deadly_tasks: frozenset[str] = frozenset()
+    deadly_share: float = 0.0
     crash_delay_s: float = 0.01
     restart_s: float = 1.0
     clock_rate: float = 1.0
 
+    def is_deadly(self, task: str) -> bool:
+        """Returns whether a task crashes the target."""
+        is_chosen = zlib.crc32(task.encode()) < self.deadly_share * MAX_CRC32
+        return is_chosen or task in self.deadly_tasks
+
 
 @dataclass(slots=True)
 class TargetIdentity:
@@ -175,6 +186,7 @@
             if self.is_down or key not in self.running:
                 return
             self.is_down = True
+            self.running[key].crashed_target = True
             self._end_incarnation()
             self.changed.notify_all()
         self.server.refuse()
@@ -317,7 +329,7 @@
             record = RunRecord(*key, body["spec"], 1000, time.monotonic())
             self.running[key] = record
             self.runs.append(record)
-            if record.task in self.faults.deadly_tasks:
+            if self.faults.is_deadly(record.task):
                 threading.Thread(
                     target=self._crash_by_task,
                     args=(key, self.faults.crash_delay_s),
