Confine queues whose tasks crash targets to a part of the targets

Cause: all queues of a service share all of its targets, and placement spreads the tasks of each queue over them. Class: no separation between a workload that fails and others. Now a queue of which a task was given up uses a quarter to a half of the targets, by its share of the work, for 10 s after the last crash, and the other queues the rest. All entries rank the targets by the same hash and know the same crashes, so they choose alike without agreement. Waiting work, shortage and shares of admission are counted by pool.

--- a/src/jackdawkeel/events.py
+++ b/src/jackdawkeel/events.py
@@ -57,6 +57,7 @@
     TARGETS_SUSPECTED = "targets_suspected"
     TASK_REFUSED = "task_refused"
     TASK_GIVEN_UP = "task_given_up"
+    QUEUES_CONFINED = "queues_confined"
     RUN_TIME_FACTOR_CHANGED = "run_time_factor_changed"
 
     STORE_REACHED = "store_reached"
--- a/src/jackdawkeel/policy/crash_blame.py
+++ b/src/jackdawkeel/policy/crash_blame.py
@@ -75,9 +75,13 @@
             return 0.0
         return TRIAL_AGE_RATIO * self.oldest_s + TRIAL_MARGIN_S
 
+    def is_to_blame(self) -> bool:
+        """Returns whether the task crashes the targets that start it."""
+        return self.blamed >= MAX_BLAMED_CRASHES
+
     def must_give_up(self) -> bool:
         """Returns whether the task must not start again."""
-        return self.blamed >= MAX_BLAMED_CRASHES or self.total >= MAX_CRASHES
+        return self.is_to_blame() or self.total >= MAX_CRASHES
 
 
 def find_suspects(runs: Sequence[RunAtCrash]) -> list[RunAtCrash]:
--- a/src/jackdawkeel/scheduling/agent_views.py
+++ b/src/jackdawkeel/scheduling/agent_views.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from ..events import EventName
+from ..policy.confinement import choose_confined_targets
 from ..policy.packing import TargetCapacity
 from ..policy.reporting import request_change_interval_s
 from ..policy.suspects import TargetStats
@@ -310,6 +311,24 @@
             if view.address.incarnation not in suspects
         ]
 
+    def confined_agents(
+        self, service: str, evacuated: frozenset[str], share: float
+    ) -> frozenset[str]:
+        """Returns the agents whose targets confined queues of a service use.
+
+        Args:
+            service: The service.
+            evacuated: Evacuated availability zones.
+            share: Part of its targets to use.
+        """
+        links = {
+            view.address.link: view.address.incarnation
+            for view in self.views.values()
+            if view.report.target.service == service
+            and view.report.target.availability_zone not in evacuated
+        }
+        return frozenset(links[link] for link in choose_confined_targets(links, share))
+
     def _summarise(self, service: str, usable: list[AgentView]) -> ServiceSummary:
         """Returns the summary of the usable agents, made anew if it is out of date.
 
--- a/src/jackdawkeel/scheduling/crash_records.py
+++ b/src/jackdawkeel/scheduling/crash_records.py
@@ -18,6 +18,7 @@
 from ..messages.scheduling import CrashExchange
 from ..messages.scheduling import CrashState
 from ..messages.scheduling import TargetCrash
+from ..policy.confinement import CONFINEMENT_S
 from ..policy.crash_blame import CrashCounts
 
 
@@ -79,6 +80,7 @@
     Attributes:
         records: The records, oldest change first.
         counts: Crashes by task.
+        crashing_queues: When a task that is given up last crashed a target, by queue.
         through: Number of the last change.
         next_expiry_at: When expired records are dropped next, in seconds of the clock.
     """
@@ -87,6 +89,7 @@
     log: EventLog
     records: dict[CrashKey, CrashRecord] = field(default_factory=dict)
     counts: dict[str, CrashCounts] = field(default_factory=dict)
+    crashing_queues: dict[str, float] = field(default_factory=dict)
     through: int = 0
     next_expiry_at: float = 0.0
 
@@ -104,6 +107,13 @@
         counts = self.counts.get(task)
         return 0.0 if counts is None else counts.trial_s
 
+    def confined_queues(self) -> frozenset[str]:
+        """Returns the queues whose tasks have recently crashed targets."""
+        since = self.clock() - CONFINEMENT_S
+        return frozenset(
+            queue for queue, at in self.crashing_queues.items() if at >= since
+        )
+
     def record(
         self,
         born_ms: int,
@@ -248,6 +258,18 @@
                     counts.blamed += is_certain and run.is_confirmed
                     age_s = run.age_ms / MS_PER_S
                     counts.oldest_s = max(age_s, counts.oldest_s or 0.0)
+        self._find_crashing_queues()
+
+    def _find_crashing_queues(self) -> None:
+        self.crashing_queues = {}
+        for record in self.records.values():
+            if record.crash.state != CrashState.CONFIRMED:
+                continue
+            for run in record.crash.runs:
+                if run.is_suspect and self.counts[run.task].is_to_blame():
+                    last_at = self.crashing_queues.get(run.queue, 0.0)
+                    at = max(last_at, record.crashed_at)
+                    self.crashing_queues[run.queue] = at
 
 
 def _with_state(crash: TargetCrash, state: int, age_s: float) -> TargetCrash:
--- a/src/jackdawkeel/scheduling/job_admission.py
+++ b/src/jackdawkeel/scheduling/job_admission.py
@@ -33,6 +33,7 @@
     from .job import Job
     from .open_assignments import ClaimedCapacity
     from .open_assignments import OpenAssignments
+    from .specification import Queue
 
 
 # Bounds the capacity that very short tasks are predicted to free.
@@ -47,7 +48,7 @@
 
     Attributes:
         jobs: The jobs.
-        short_since: Since when jobs of a service have been waiting for capacity without
+        short_since: Since when jobs of a pool have been waiting for capacity without
             a break, in seconds of the clock; none waits if it is missing.
         discovers_until: Until when agents are still being discovered after the start of
             the entry, in seconds of the clock; capacity is then higher than known.
@@ -69,14 +70,15 @@
             now: Time in clock seconds.
             startable: The jobs that may start.
         """
-        short = {job.queue.service for job in startable if job.lacks_capacity()}
-        self.short_since = {
-            service: self.short_since.get(service, now) for service in short
+        short = {
+            self.loads.find_pool(job.queue) for job in startable if job.lacks_capacity()
         }
+        self.short_since = {pool: self.short_since.get(pool, now) for pool in short}
 
-    def measure_shortage_s(self, service: str, now: float) -> float:
-        """Returns how long jobs of a service have been waiting, in seconds."""
-        return now - min(now, self.short_since.get(service, now))
+    def measure_shortage_s(self, queue: Queue, now: float) -> float:
+        """Returns how long jobs of a queue's pool have been waiting, in seconds."""
+        pool = self.loads.find_pool(queue)
+        return now - min(now, self.short_since.get(pool, now))
 
 
 @dataclass(frozen=True, slots=True)
@@ -176,7 +178,7 @@
     now: float,
 ) -> PredictedWait:
     """Returns the predicted wait of a new job, in time and as a late one."""
-    shortage_s = queue.measure_shortage_s(job.queue.service, now)
+    shortage_s = queue.measure_shortage_s(job.queue, now)
     if now < queue.discovers_until:
         return PredictedWait(0.0, 0.0, shortage_s)
     ranks = [
@@ -194,7 +196,7 @@
         return PredictedWait(0.0, 0.0, shortage_s)
     free_cores = count_fitting_tasks(step, targets) * task_cores
     freed = _freed_cores_per_s(job, targets, claimed)
-    loads = queue.loads.by_service[job.queue.service].values()
+    loads = queue.loads.list_pool(job.queue)
     waits = [
         predict_wait_s(
             needed_cores=cores + job.waiting_cores(),
@@ -300,10 +302,11 @@
 
 
 def _waiting_for(job: Job, queue: JobQueue) -> Iterable[Job]:
+    pool = queue.loads.find_pool(job.queue)
     return (
         other
         for other in queue.jobs
-        if other is not job and other.queue.service == job.queue.service
+        if other is not job and queue.loads.find_pool(other.queue) == pool
     )
 
 
--- a/src/jackdawkeel/scheduling/job_scheduler.py
+++ b/src/jackdawkeel/scheduling/job_scheduler.py
@@ -8,6 +8,7 @@
 from ..errors import ErrorKind
 from ..events import EventName
 from ..messages.scheduling import TaskStatus
+from ..policy.confinement import find_confined_share
 from ..policy.target_speed import find_distance_factor
 from ..policy.waiting import JobTiming
 from ..policy.waiting import choose_retry_delay_s
@@ -39,6 +40,7 @@
     from ..messages import PeerAddress
     from ..messages.scheduling import AgentReport
     from ..messages.scheduling import TaskUpdate
+    from ..policy.packing import TargetCapacity
     from .agent_views import AgentView
     from .agent_views import AgentViews
     from .job import OpenAssignment
@@ -191,11 +193,34 @@
         job.unblock_steps()
         return job
 
+    def _find_targets(self, queue: Queue) -> list[TargetCapacity]:
+        """Returns the targets that tasks of a queue may use, with their capacity."""
+        evacuated = self.evacuated_zones()
+        targets = self.views.target_capacities(queue.service, evacuated)
+        loads = self.queue.loads
+        if not loads.confined:
+            return targets
+        offered = {
+            name: load.offered_s
+            for name, load in loads.by_service[queue.service].items()
+        }
+        share = find_confined_share(loads.confined, offered)
+        agents = self.views.confined_agents(queue.service, evacuated, share)
+        if not agents:
+            return targets
+        is_confined = queue.name in loads.confined
+        return [target for target in targets if (target.name in agents) == is_confined]
+
+    def _update_confinement(self) -> None:
+        confined = self.crashes.confined_queues()
+        if confined != self.queue.loads.confined:
+            self.queue.loads.confined = confined
+            self.log.record(EventName.QUEUES_CONFINED, queues=sorted(confined))
+
     def _find_refusal(self, job: Job) -> DispatchError | None:
-        service = job.queue.service
         refusal = admit_job(
             job,
-            self.views.target_capacities(service, self.evacuated_zones()),
+            self._find_targets(job.queue),
             self.queue,
             self.assignments.open,
             self.clock(),
@@ -253,19 +278,19 @@
             if not job.has_ended and job.has_ready_tasks()
         ]
         self.queue.jobs.sort(key=lambda job: job.rank(now))
-        evacuated = self.evacuated_zones()
-        services: dict[str, ServicePass] = {}
+        passes: dict[str, ServicePass] = {}
         startable = [job for job in self.queue.jobs if self._may_start(job, now)]
         for job in startable:
             service = job.queue.service
-            if service not in services:
-                targets = self.views.target_capacities(service, evacuated)
-                services[service] = ServicePass(
+            pool = self.queue.loads.find_pool(job.queue)
+            if pool not in passes:
+                targets = self._find_targets(job.queue)
+                passes[pool] = ServicePass(
                     targets,
                     make_start_check(targets, now),
                     self.assignments.rack_demands.measure(service, startable, now),
                 )
-            this_pass = services[service]
+            this_pass = passes[pool]
             if this_pass.may_use_capacity(job):
                 job.is_late = not job.can_be_in_time(now)
                 self.assignments.assign_ready_tasks(
@@ -323,6 +348,7 @@
     def _receive_crashes(self, view: AgentView, report: AgentReport) -> None:
         agent = view.address.incarnation
         if self.crashes.receive(report.crashes, view.crashes, agent):
+            self._update_confinement()
             for job in list(self.jobs.values()):
                 self._end_if_given_up(job)
 
@@ -480,6 +506,7 @@
                 self._end_at_deadline(job)
         self._refuse_late_jobs(now)
         self.crashes.drop_expired()
+        self._update_confinement()
         self.assignments.resend_stops()
         self.schedule()
 
@@ -494,8 +521,7 @@
                 self._end(job, error=error)
 
     def _describe_late_refusal(self, job: Job, now: float) -> DispatchError:
-        service = job.queue.service
-        targets = self.views.target_capacities(service, self.evacuated_zones())
+        targets = self._find_targets(job.queue)
         release_s = predict_release_s(
             job, targets, self.queue, self.assignments.open, now
         )
--- a/tests/scheduling/test_suspect_tasks.py
+++ b/tests/scheduling/test_suspect_tasks.py
@@ -6,6 +6,10 @@
 
 from __future__ import annotations
 
+import math
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
 import msgspec
 
 from jackdawkeel.messages.scheduling import CrashedRun
@@ -13,9 +17,12 @@
 from jackdawkeel.messages.scheduling import CrashState
 from jackdawkeel.messages.scheduling import TargetCrash
 from jackdawkeel.messages.scheduling import TaskStatus
+from jackdawkeel.policy.confinement import CONFINEMENT_S
 from jackdawkeel.policy.crash_blame import RunAtCrash
 from jackdawkeel.scheduling.job import Job
 from jackdawkeel.scheduling.job import JobResult
+from jackdawkeel.scheduling.leases import REPORT_INTERVAL_S
+from tests.scheduling.test_job_scheduler import QUEUE
 from tests.scheduling.test_job_scheduler import FakeAgent
 from tests.scheduling.test_job_scheduler import JobSchedulerTestCase
 from tests.scheduling.test_job_scheduler import make_job
@@ -25,6 +32,10 @@
 from tests.scheduling.test_task_executor import make_assignment
 
 
+if TYPE_CHECKING:
+    from jackdawkeel.scheduling.specification import Queue
+
+
 AGE_MS = 10
 TRIAL_MS = 200
 
@@ -102,6 +113,73 @@
         self.assertEqual(self.pop_assignments(), [])
 
 
+class ConfinedQueuesTest(JobSchedulerTestCase):
+    """Six targets, and a queue with a task that has crashed two others."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.agents = [self.agent] + [
+            FakeAgent(name, port, self.clock)
+            for port, name in enumerate("bcdef", start=2)
+        ]
+        self.report_all()
+        self.crashes = [
+            TargetCrash(
+                "other",
+                born_ms,
+                CrashState.CONFIRMED,
+                0,
+                [CrashedRun("task", "bad", AGE_MS, True, True)],
+            )
+            for born_ms in (1, 2)
+        ]
+        self.bad = replace(QUEUE, name="bad")
+
+    def report_all(self) -> None:
+        for agent in self.agents:
+            self.deliver(agent)
+
+    def report_crashes(self) -> None:
+        exchange = CrashExchange(self.crashes, 2, 0)
+        report = msgspec.structs.replace(self.agent.report(), crashes=exchange)
+        self.scheduler.handle_report(self.agent.address, report)
+
+    def used_agents(self, count: int, queue: Queue, job: int) -> set[str]:
+        """Submits a job and returns the agents that get its tasks."""
+        self.submit(make_job(count, f"{job:016x}"), queue)
+        return {agent.incarnation for agent, _ in self.pop_assignments()}
+
+    def test_queues_use_separate_targets_while_one_crashes_them(self) -> None:
+        self.used_agents(1, self.bad, 1)
+        self.used_agents(1, QUEUE, 2)
+        self.report_crashes()
+        bad = self.used_agents(24, self.bad, 3)
+        good = self.used_agents(24, QUEUE, 4)
+        self.assertTrue(bad)
+        self.assertTrue(good)
+        self.assertFalse(bad & good)
+
+    def test_a_queue_is_not_confined_for_long(self) -> None:
+        self.used_agents(1, self.bad, 1)
+        self.used_agents(1, QUEUE, 2)
+        self.report_crashes()
+        for _ in range(math.ceil(CONFINEMENT_S / REPORT_INTERVAL_S) + 1):
+            self.clock.advance(REPORT_INTERVAL_S)
+            self.report_all()
+            self.scheduler.tick()
+        self.pop_assignments()
+        used = self.used_agents(12, self.bad, 3) | self.used_agents(12, QUEUE, 4)
+        self.assertEqual(len(used), len(self.agents))
+        self.assertEqual(self.scheduler.queue.loads.confined, frozenset())
+
+    def test_a_shortage_of_a_confined_queue_is_none_of_the_others(self) -> None:
+        self.used_agents(1, self.bad, 1)
+        self.used_agents(1, QUEUE, 2)
+        self.report_crashes()
+        self.used_agents(24, self.bad, 3)
+        self.assertEqual(list(self.scheduler.queue.short_since), ["svc/confined"])
+
+
 class SuspectsAtAgentTest(ExecutorTestCase):
     def crash(self, born_ms: int, task: str) -> None:
         """Records a crash that an entry has reported."""
