--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -356,19 +356,14 @@
 
 
 def deadly_tasks(disruptions: Disruptions, rng: random.Random) -> EndFault:
-    """Makes a share of the tasks crash each target that starts them."""
-    all_faults = [agent.target.faults for agent in disruptions.fleet.agents]
+    """Makes a share of the tasks crash each target that starts them, for good."""
     share = rng.uniform(*DEADLY_SHARE_RANGE)
-    for faults in all_faults:
+    for agent in disruptions.fleet.agents:
+        faults = agent.target.faults
         faults.crash_delay_s = rng.uniform(0.0, MAX_CRASH_DELAY_S)
         faults.restart_s = rng.uniform(*RESTART_RANGE_S)
-        faults.deadly_share = share
-
-    def end() -> None:
-        for faults in all_faults:
-            faults.deadly_share = 0.0
-
-    return end
+        faults.deadly_share = max(share, faults.deadly_share)
+    return do_nothing
 
 
 def drain_target(disruptions: Disruptions, rng: random.Random) -> EndFault:
