Limit the records of crashes in one message

A starting entry would have received up to 500 records from each of its agents in each report until its first acknowledgement.

--- a/src/jackdawkeel/scheduling/crash_records.py
+++ b/src/jackdawkeel/scheduling/crash_records.py
@@ -31,10 +31,12 @@
 
 
 # Longer than callers wait for a job and submit it again.
-RECORD_LIFETIME_S = 120.0
+RECORD_LIFETIME_S = 60.0
 EXPIRY_INTERVAL_S = 1.0
 # The oldest records are evicted beyond this number.
 MAX_RECORDS = 500
+# Records in one message. An entry that starts gets them from all of its agents.
+MAX_SENT_RECORDS = 10
 MS_PER_S = 1000
 
 # Incarnations of the target's agent and of the target.
@@ -207,12 +209,18 @@
         if progress.sent_through >= self.through and not progress.received_through:
             return None
         now = self.clock()
-        crashes = [
-            _with_state(record.crash, record.crash.state, now - record.crashed_at)
+        unsent = [
+            record
             for record in self.records.values()
             if record.number > progress.sent_through and record.source != peer
         ]
-        return CrashExchange(crashes, self.through, progress.received_through)
+        sent = unsent[:MAX_SENT_RECORDS]
+        through = self.through if len(sent) == len(unsent) else sent[-1].number
+        crashes = [
+            _with_state(record.crash, record.crash.state, now - record.crashed_at)
+            for record in sent
+        ]
+        return CrashExchange(crashes, through, progress.received_through)
 
     def receive(
         self, exchange: CrashExchange | None, progress: ExchangeProgress, peer: str
--- a/tests/controllers/test_dispatch.py
+++ b/tests/controllers/test_dispatch.py
@@ -332,6 +332,17 @@
         self.report(second, "failed")
         self.assertEqual(self.answers["job"].outcome, "failed")
 
+    def test_task_that_crashes_each_target_is_started_three_times_at_most(self) -> None:
+        self.submit(1, idempotent=True)
+        starts = 0
+        while "job" not in self.answers:
+            for sent in self.collect_dispatches():
+                starts += 1
+                self.report(sent, "unknown")
+            self.dispatch.find_stats("service").retries.balance = 100.0
+            self.dispatch.tick()
+        self.assertEqual(starts, 3)
+
     def test_expected_load_counts_only_tasks_dispatched_before(self) -> None:
         listed = [make_peer(SAME_ZONE, "zone-a"), make_peer(OTHER_ZONE, "zone-b")]
         loads = [PeerLoad(0, 200, 1), PeerLoad(0, 3, 2)]
--- a/tests/scheduling/test_crash_records.py
+++ b/tests/scheduling/test_crash_records.py
@@ -14,6 +14,7 @@
 from jackdawkeel.messages.scheduling import CrashState
 from jackdawkeel.policy.crash_blame import RunAtCrash
 from jackdawkeel.scheduling.crash_records import MAX_RECORDS
+from jackdawkeel.scheduling.crash_records import MAX_SENT_RECORDS
 from jackdawkeel.scheduling.crash_records import RECORD_LIFETIME_S
 from jackdawkeel.scheduling.crash_records import CrashRecords
 from jackdawkeel.scheduling.crash_records import ExchangeProgress
@@ -147,6 +148,14 @@
         self.agent.send(late)
         self.assertEqual(self.blamed(late), 0)
 
+    def test_a_process_that_starts_gets_all_records_in_small_messages(self) -> None:
+        for born_ms in range(1, 3 * MAX_SENT_RECORDS):
+            self.crash(born_ms)
+        for _ in range(3):
+            self.assertLessEqual(self.agent.send(self.entry), MAX_SENT_RECORDS)
+            self.entry.send(self.agent)
+        self.assertEqual(self.blamed(self.entry), 3 * MAX_SENT_RECORDS - 1)
+
     def test_the_number_of_records_is_limited(self) -> None:
         for born_ms in range(1, MAX_RECORDS + 10):
             self.crash(born_ms)
