Record crashes after a withdrawn one, and under runs that are being stopped

Crashes are numbered now, and a stop counts only if it was confirmed before the last reply of the incarnation that crashed.

--- a/src/jackdawkeel/messages/scheduling.py
+++ b/src/jackdawkeel/messages/scheduling.py
@@ -62,14 +62,15 @@
 
     Attributes:
         agent: Incarnation of the target's agent.
-        born_ms: The incarnation of the target.
+        number: Number of the crash at this agent; the same incarnation of a target may
+            seem to have crashed several times.
         state: A value of ``CrashState``.
         age_ms: Time since the crash, in milliseconds.
         runs: The runs that may have been at work on it.
     """
 
     agent: str
-    born_ms: int
+    number: int
     state: int
     age_ms: int
     runs: list[CrashedRun]
--- a/src/jackdawkeel/scheduling/crash_records.py
+++ b/src/jackdawkeel/scheduling/crash_records.py
@@ -39,7 +39,7 @@
 MAX_SENT_RECORDS = 10
 MS_PER_S = 1000
 
-# Incarnations of the target's agent and of the target.
+# Incarnation of the target's agent, and number of the crash at that agent.
 CrashKey = tuple[str, int]
 
 
@@ -118,7 +118,7 @@
 
     def record(
         self,
-        born_ms: int,
+        number: int,
         crashed_at: float,
         state: CrashState,
         runs: Iterable[RunAtCrash],
@@ -127,7 +127,7 @@
         """Records a crash of this agent's target.
 
         Args:
-            born_ms: The incarnation of the target.
+            number: Number of the crash; no other crash of the agent has it.
             crashed_at: When it was noticed, in seconds of the clock.
             state: How certain it is.
             runs: All runs that may have been at work on it.
@@ -136,7 +136,7 @@
         suspected = {run.task for run in suspects}
         crash = TargetCrash(
             self.log.incarnation,
-            born_ms,
+            number,
             state,
             round(MS_PER_S * (self.clock() - crashed_at)),
             [
@@ -152,13 +152,13 @@
         )
         self.merge([crash], source="")
 
-    def change_state(self, born_ms: int, state: CrashState) -> bool:
+    def change_state(self, number: int, state: CrashState) -> bool:
         """Confirms or withdraws a crash of this agent's target.
 
         Returns:
             Whether the state has changed.
         """
-        record = self.records.get((self.log.incarnation, born_ms))
+        record = self.records.get((self.log.incarnation, number))
         if record is None:
             return False
         age_s = self.clock() - record.crashed_at
@@ -175,7 +175,7 @@
         is_changed = False
         for crash in crashes:
             crashed_at = now - crash.age_ms / MS_PER_S
-            key = (crash.agent, crash.born_ms)
+            key = (crash.agent, crash.number)
             known = self.records.get(key)
             if known is not None and known.crash.state >= crash.state:
                 continue
--- a/src/jackdawkeel/scheduling/crash_watch.py
+++ b/src/jackdawkeel/scheduling/crash_watch.py
@@ -28,7 +28,9 @@
         failing_since: When calls of the present incarnation began to fail, in seconds
             of the clock; None if the last one succeeded.
         was_ending: Whether the present incarnation has announced its end.
-        crashed_born_ms: The incarnation whose crash was recorded last; 0 if none.
+        last_reply_at: When the last reply arrived, in seconds of the clock.
+        crashes: Number of crashes recorded so far.
+        is_crashed: Whether a crash of the present incarnation is recorded.
     """
 
     def __init__(
@@ -52,7 +54,9 @@
         self.find_executor = find_executor
         self.failing_since: float | None = None
         self.was_ending = False
-        self.crashed_born_ms = 0
+        self.last_reply_at = 0.0
+        self.crashes = 0
+        self.is_crashed = False
 
     def record_failure(self) -> None:
         """Records that a call has failed."""
@@ -76,10 +80,11 @@
         current = self.target.born_ms
         if current and born_ms != current:
             self._record_crash(CrashState.CONFIRMED, "restarted")
-        elif current and self.crashed_born_ms == current:
-            self.crashed_born_ms = 0
+        elif self.is_crashed:
             self._change_state(CrashState.WITHDRAWN, "withdrawn")
+        self.is_crashed = False
         self.failing_since = None
+        self.last_reply_at = self.clock()
         self.was_ending = self._is_ending()
 
     def _is_ending(self) -> bool:
@@ -87,17 +92,18 @@
         return report is None or report.is_draining
 
     def _record_crash(self, state: CrashState, evidence: str) -> None:
-        if self.crashed_born_ms == self.target.born_ms:
+        if self.is_crashed:
             self._change_state(state, evidence)
             return
         at = self.clock() if self.failing_since is None else self.failing_since
         executor = self.find_executor()
-        runs = executor.list_runs_at(at)
+        runs = executor.list_runs_at(at, self.last_reply_at)
         if self.was_ending or not runs:
             return
-        self.crashed_born_ms = self.target.born_ms
+        self.is_crashed = True
+        self.crashes += 1
         suspects = find_suspects(runs)
-        executor.crashes.record(self.target.born_ms, at, state, runs, suspects)
+        executor.crashes.record(self.crashes, at, state, runs, suspects)
         self.log.record(
             EventName.TARGET_CRASHED,
             born_ms=self.target.born_ms,
@@ -109,8 +115,9 @@
         )
 
     def _change_state(self, state: CrashState, evidence: str) -> None:
-        born_ms = self.target.born_ms
-        if self.find_executor().crashes.change_state(born_ms, state):
+        if self.find_executor().crashes.change_state(self.crashes, state):
             self.log.record(
-                EventName.TARGET_CRASHED, born_ms=born_ms, evidence=evidence
+                EventName.TARGET_CRASHED,
+                born_ms=self.target.born_ms,
+                evidence=evidence,
             )
--- a/src/jackdawkeel/scheduling/task_executor.py
+++ b/src/jackdawkeel/scheduling/task_executor.py
@@ -145,11 +145,14 @@
         now = self.clock()
         return any(run.is_on_trial(now) for run in self.by_run.values())
 
-    def list_runs_at(self, at: float) -> list[RunAtCrash]:
-        """Returns the runs that may have been at work on the target at a time.
+    def list_runs_at(self, at: float, last_reply_at: float) -> list[RunAtCrash]:
+        """Returns the runs that may have been at work on the target at a crash.
+
+        A stop may have been confirmed by the next incarnation.
 
         Args:
-            at: The time, in seconds of the clock.
+            at: When the crash was noticed, in seconds of the clock.
+            last_reply_at: When the target was last known to run.
         """
         return [
             RunAtCrash(
@@ -160,7 +163,8 @@
                 is_confirmed=bool(run.started_at or run.listed_at),
             )
             for run in self.by_run.values()
-            if run.phase is not RunPhase.STOPPED and run.start_sent_at <= at
+            if run.start_sent_at <= at
+            and not (run.phase is RunPhase.STOPPED and run.stopped_at <= last_reply_at)
         ]
 
     def latest_lease_end(self) -> float:
--- a/tests/scheduling/test_crash_watch.py
+++ b/tests/scheduling/test_crash_watch.py
@@ -83,6 +83,42 @@
         self.deliver_listing(1)
         self.assertEqual(self.evidence(), ["silent", "withdrawn"])
 
+    def test_a_target_that_was_only_silent_can_crash_later(self) -> None:
+        for number in (1, 2):
+            self.assign(number)
+            self.fail_calls(TargetFailure.NO_ANSWER)
+            self.deliver_listing(1)
+        self.assign(3)
+        self.fail_calls(TargetFailure.NO_ANSWER)
+        self.deliver_listing(2)
+        self.assertEqual(
+            self.evidence(), ["silent", "withdrawn"] * 2 + ["silent", "restarted"]
+        )
+        counts = self.executor.crashes.find("task-3")
+        self.assertEqual(counts and counts.total, 1)
+
+    def test_a_run_whose_stop_the_next_incarnation_confirmed_was_at_work(self) -> None:
+        run = self.assign(1)
+        self.clock.advance(TICK_S)
+        self.executor.handle_stop(ENTRY, [1])
+        self.link.crashes.record_failure()
+        self.clock.advance(TICK_S)
+        self.executor.handle_stop_outcome(run.run, None)
+        self.clock.advance(TICK_S)
+        self.deliver_listing(2)
+        [crash] = self.crashes()
+        self.assertEqual(list(crash["ages_ms"]), ["task-1"])
+
+    def test_a_run_that_was_stopped_before_the_crash_is_not_blamed(self) -> None:
+        run = self.assign(1)
+        self.executor.handle_stop(ENTRY, [1])
+        self.executor.handle_stop_outcome(run.run, None)
+        self.clock.advance(TICK_S)
+        self.deliver_listing(1, run.run)
+        self.clock.advance(TICK_S)
+        self.deliver_listing(2)
+        self.assertEqual(self.crashes(), [])
+
     def test_a_new_incarnation_shows_that_the_previous_one_has_crashed(self) -> None:
         run = self.assign(1)
         self.clock.advance(TICK_S)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -135,6 +135,8 @@
         checker = SoakChecker(fleet, callers, disruptions, checks_time_bounds)
         with checker, callers:
             _inject_faults(plan, disruptions)
+            for agent in fleet.agents:
+                agent.target.faults.deadly_share = 0.0
             timeout_s = (
                 RECOVERY_TIMEOUT_S if checks_time_bounds else UNTIMED_RECOVERY_TIMEOUT_S
             )
