--- a/src/jackdawkeel/scheduling/crash_records.py
+++ b/src/jackdawkeel/scheduling/crash_records.py
@@ -80,6 +80,8 @@
     """The recent crashes of targets.
 
     Attributes:
+        clock: Clock in seconds.
+        log: Event log; its incarnation identifies the process.
         records: The records, oldest change first.
         counts: Crashes by task.
         crashing_queues: When a task that is given up last crashed a target, by queue.
