--- a/src/jackdawkeel/messages/scheduling.py
+++ b/src/jackdawkeel/messages/scheduling.py
@@ -25,7 +25,8 @@
     NOT_STARTED = "not_started"
     """It has not run under this assignment and never will."""
     REJECTED = "rejected"
-    """The target rejects it permanently; it has not run."""
+    """The target rejects it permanently, or the agent refuses its task because it
+    crashes targets; it has not run."""
 
 
 class CrashState(IntEnum):
--- a/src/jackdawkeel/scheduling/assignment_sender.py
+++ b/src/jackdawkeel/scheduling/assignment_sender.py
@@ -126,12 +126,10 @@
         for index in range(len(job.spec.steps)):
             groups: dict[frozenset[str], list[Task]] = {}
             for task in job.ready_tasks(index):
-                if self.crashes.trial_s(task.name):
-                    waiting_trials += not self._assign_suspect(
-                        job, task, targets, reserves
-                    )
-                else:
+                if not self.crashes.trial_s(task.name):
                     groups.setdefault(task.avoided, []).append(task)
+                elif not self._assign_suspect(job, task, targets, reserves):
+                    waiting_trials += _has_capacity(job, task, targets)
             for avoided, tasks in groups.items():
                 held += self._assign_group(
                     job, index, tasks, avoided, targets, reserves
@@ -146,10 +144,10 @@
         targets: list[TargetCapacity],
         reserves: Mapping[str, float],
     ) -> bool:
-        """Assigns a task that may have crashed a target, one to a target at a time.
+        """Assigns a task that may have crashed a target to one without a trial.
 
         Returns:
-            Whether it was assigned, or no target has capacity for it anyway.
+            Whether it was assigned.
         """
         without_trial = [target for target in targets if not target.has_trial]
         self._assign_group(
@@ -161,7 +159,7 @@
                 for target in without_trial:
                     target.has_trial |= target.name == assignment.agent
                 return True
-        return not count_fitting_tasks(job.spec.steps[task.step], targets)
+        return False
 
     def _assign_group(
         self,
@@ -359,6 +357,10 @@
             view.unreported.pop(assignment.number, None)
 
 
+def _has_capacity(job: Job, task: Task, targets: Iterable[TargetCapacity]) -> bool:
+    return count_fitting_tasks(job.spec.steps[task.step], targets) > 0
+
+
 def _is_late(job: Job) -> bool:
     """Returns whether a running task of a job is predicted to end late."""
     ends_by = job.timing.arrived_at + job.timing.objective_s
