--- a/src/jackdawkeel/policy/crash_blame.py
+++ b/src/jackdawkeel/policy/crash_blame.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from dataclasses import field
 from typing import TYPE_CHECKING
 
 
@@ -31,6 +32,10 @@
 # differ in speed, and for this time in addition.
 TRIAL_AGE_RATIO = 2.0
 TRIAL_MARGIN_S = 0.05
+# Ages at crashes are alike if they differ by less than this factor and time. Crashes
+# with other causes end runs of any age.
+ALIKE_AGE_RATIO = 1.1
+ALIKE_AGE_MARGIN_S = 0.02
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,11 +67,13 @@
         total: All crashes, also those during starts without a reply.
         oldest_s: Largest age of its runs at a crash that it may have caused, in
             seconds; None if there is none.
+        blamed_ages_s: Ages of its runs at the crashes that it is blamed for.
     """
 
     blamed: int = 0
     total: int = 0
     oldest_s: float | None = None
+    blamed_ages_s: list[float] = field(default_factory=list)
 
     @property
     def trial_s(self) -> float:
@@ -75,13 +82,16 @@
             return 0.0
         return TRIAL_AGE_RATIO * self.oldest_s + TRIAL_MARGIN_S
 
-    def is_to_blame(self) -> bool:
-        """Returns whether the task crashes the targets that start it."""
-        return self.blamed >= MAX_BLAMED_CRASHES
-
     def must_give_up(self) -> bool:
         """Returns whether the task must not start again."""
-        return self.is_to_blame() or self.total >= MAX_CRASHES
+        return self.blamed >= MAX_BLAMED_CRASHES or self.total >= MAX_CRASHES
+
+    def is_certain(self) -> bool:
+        """Returns whether the task crashes targets, always at about the same age."""
+        if self.blamed < MAX_BLAMED_CRASHES:
+            return False
+        latest_s = ALIKE_AGE_RATIO * min(self.blamed_ages_s) + ALIKE_AGE_MARGIN_S
+        return max(self.blamed_ages_s) <= latest_s
 
 
 def find_suspects(runs: Sequence[RunAtCrash]) -> list[RunAtCrash]:
--- a/src/jackdawkeel/scheduling/crash_records.py
+++ b/src/jackdawkeel/scheduling/crash_records.py
@@ -84,7 +84,7 @@
         log: Event log; its incarnation identifies the process.
         records: The records, oldest change first.
         counts: Crashes by task.
-        crashing_queues: When a task that is given up last crashed a target, by queue.
+        crashing_queues: When a task that certainly crashes targets last did, by queue.
         through: Number of the last change.
         next_expiry_at: When expired records are dropped next, in seconds of the clock.
     """
@@ -264,10 +264,13 @@
             for run in crash.runs:
                 counts = self.counts.setdefault(run.task, CrashCounts())
                 counts.total += is_certain
-                if run.is_suspect:
-                    counts.blamed += is_certain and run.is_confirmed
-                    age_s = run.age_ms / MS_PER_S
-                    counts.oldest_s = max(age_s, counts.oldest_s or 0.0)
+                if not run.is_suspect:
+                    continue
+                age_s = run.age_ms / MS_PER_S
+                counts.oldest_s = max(age_s, counts.oldest_s or 0.0)
+                if is_certain and run.is_confirmed:
+                    counts.blamed += 1
+                    counts.blamed_ages_s.append(age_s)
         self._find_crashing_queues()
 
     def _find_crashing_queues(self) -> None:
@@ -276,7 +279,7 @@
             if record.crash.state != CrashState.CONFIRMED:
                 continue
             for run in record.crash.runs:
-                if run.is_suspect and self.counts[run.task].is_to_blame():
+                if run.is_suspect and self.counts[run.task].is_certain():
                     last_at = self.crashing_queues.get(run.queue, 0.0)
                     at = max(last_at, record.crashed_at)
                     self.crashing_queues[run.queue] = at
--- a/tests/policy/test_crash_blame.py
+++ b/tests/policy/test_crash_blame.py
@@ -52,6 +52,15 @@
         self.assertGreater(CrashCounts(1, 1, oldest_s=0.4).trial_s, 1.5 * 0.4)
         self.assertEqual(CrashCounts(0, 1).trial_s, 0.0)
 
+    def test_crashes_at_different_ages_may_have_other_causes(self) -> None:
+        cases = {(0.010, 0.013): True, (0.4, 0.45): True, (0.41, 0.51): False}
+        for ages, is_certain in cases.items():
+            with self.subTest(ages):
+                counts = CrashCounts(2, 2, max(ages), list(ages))
+                self.assertEqual(counts.is_certain(), is_certain)
+                self.assertTrue(counts.must_give_up())
+        self.assertFalse(CrashCounts(1, 1, 0.01, [0.01]).is_certain())
+
     def test_starts_of_a_task_stay_within_the_users_budget(self) -> None:
         self.assertLessEqual(MAX_BLAMED_CRASHES, MAX_CRASHES)
         self.assertLess(MAX_CRASHES, CRASHES_BEFORE_LIMIT + STARTS_AFTER_LIMIT)
--- a/tests/scheduling/test_suspect_tasks.py
+++ b/tests/scheduling/test_suspect_tasks.py
@@ -159,6 +159,13 @@
         self.assertTrue(good)
         self.assertFalse(bad & good)
 
+    def test_no_queue_is_confined_for_crashes_at_different_ages(self) -> None:
+        first = self.crashes[0]
+        run = msgspec.structs.replace(first.runs[0], age_ms=50 * AGE_MS)
+        self.crashes[0] = msgspec.structs.replace(first, runs=[run])
+        self.report_crashes()
+        self.assertEqual(self.scheduler.queue.loads.confined, frozenset())
+
     def test_a_queue_is_not_confined_for_long(self) -> None:
         self.used_agents(1, self.bad, 1)
         self.used_agents(1, QUEUE, 2)
