Suspect no runs older than 0.25 s of a crash

Old suspects were: if a target ran no young task, all its runs became suspects, and each occupied the trial of a target for twice its age. Now none is older than 0.25 s; the limit of four crashes holds for the others.

--- a/src/jackdawkeel/policy/crash_blame.py
+++ b/src/jackdawkeel/policy/crash_blame.py
@@ -28,6 +28,9 @@
 SUSPECT_AGE_RATIO = 8.0
 # Younger runs are always suspects: the time of a crash is known less accurately.
 MIN_SUSPECT_AGE_S = 0.1
+# Older runs are none: their trials would take long, while most crashes of targets that
+# run only old tasks have other causes. MAX_CRASHES limits such tasks.
+MAX_SUSPECT_AGE_S = 0.25
 # A trial lasts for this multiple of the run's age at the earlier crash, because targets
 # differ in speed, and for this time in addition.
 TRIAL_AGE_RATIO = 2.0
@@ -104,7 +107,7 @@
     if on_trial or not runs:
         return on_trial
     limit_s = max(MIN_SUSPECT_AGE_S, SUSPECT_AGE_RATIO * _youngest_s(runs))
-    return [run for run in runs if run.age_s <= limit_s]
+    return [run for run in runs if run.age_s <= min(limit_s, MAX_SUSPECT_AGE_S)]
 
 
 def _youngest_s(runs: Iterable[RunAtCrash]) -> float:
