Stand-in target: a deadly task never completes before its crash

The log shows one crash, and the second run ended as done after 0.1 s: the thread that crashes the target 10 ms after the start was scheduled later than the run time of 0.1 s, so the task ended first. The product did nothing wrong.

A deadly run of the stand-in now lasts until it crashes the target or is stopped. The new test delays the crash beyond the run time: it failed before (completed instead of failed) and passes now; the checks are unchanged.

--- a/tests/integration/test_crashing_tasks.py
+++ b/tests/integration/test_crashing_tasks.py
@@ -63,6 +63,11 @@
         self.assertEqual(self.states, {JOB_ID: "failed"}, self.fleet.log_tail())
         self.assertEqual(self.count_crashes(task), 2)
 
+    def test_deadly_task_never_completes_when_its_crash_is_delayed(self) -> None:
+        for agent in self.fleet.agents:
+            agent.target.faults.crash_delay_s = 2 * agent.target.faults.run_s
+        self.test_task_that_crashes_each_target_is_given_up_after_two()
+
     def test_crashes_are_counted_when_the_entry_that_assigned_the_task_fails(
         self,
     ) -> None:
--- a/tests/standins/platform_target.py
+++ b/tests/standins/platform_target.py
@@ -49,6 +49,7 @@
         end_kind: How it ended, as named by the platform, or ``crashed``; empty while
             the task runs.
         crashed_target: Whether it has crashed the target.
+        is_deadly: Whether it runs until it crashes the target or is stopped.
     """
 
     task: str
@@ -59,6 +60,7 @@
     ended_at: float = 0.0
     end_kind: str = ""
     crashed_target: bool = False
+    is_deadly: bool = False
 
 
 @dataclass(slots=True)
@@ -226,6 +228,8 @@
                 for record in list(self.running.values()):
                     if self._clock_ms() > self.lease_expires_at_ms:
                         self._end(record, "lapsed")
+                    elif record.is_deadly:
+                        continue
                     elif now - record.started_at >= self.faults.run_s:
                         self._end(record, "failed" if self.faults.fail_all else "done")
 
@@ -330,6 +334,7 @@
             self.running[key] = record
             self.runs.append(record)
             if self.faults.is_deadly(record.task):
+                record.is_deadly = True
                 threading.Thread(
                     target=self._crash_by_task,
                     args=(key, self.faults.crash_delay_s),
