Count the kept and broken promises of admission by queue

Logs and metrics could not tell apart whether callers who were admitted as in time were served in time: job_ended only says how a job began. A job keeps whether it was predicted to be in time at its admission (promised in job_ended), and an entry counts the promises kept and broken by queue.

No decision changes. A test plays a shortage and compares counters and log; a second one checks that callers get answers when half of the targets fall silent.

--- a/src/jackdawkeel/metrics.py
+++ b/src/jackdawkeel/metrics.py
@@ -44,6 +44,8 @@
     JOBS_LATE = "jobs_late"
     JOBS_REFUSED = "jobs_refused"
     JOBS_GIVEN_UP = "jobs_given_up"
+    PROMISES_KEPT = "promises_kept"
+    PROMISES_BROKEN = "promises_broken"
 
 
 class GaugeName(StrEnum):
@@ -93,6 +95,8 @@
     CounterName.JOBS_LATE: Description("Jobs answered late.", "queue"),
     CounterName.JOBS_REFUSED: Description("Jobs refused.", "queue_and_reason"),
     CounterName.JOBS_GIVEN_UP: Description("Jobs that crash targets.", "queue"),
+    CounterName.PROMISES_KEPT: Description("Predicted in time, and were.", "queue"),
+    CounterName.PROMISES_BROKEN: Description("Predicted in time, not so.", "queue"),
     GaugeName.AGENTS: Description("Agents that are heard.", "state"),
     GaugeName.ENTRIES: Description("Entries that are heard.", "state"),
     GaugeName.JOBS: Description("Jobs that have not ended.", "state"),
--- a/src/jackdawkeel/scheduling/job.py
+++ b/src/jackdawkeel/scheduling/job.py
@@ -106,6 +106,7 @@
             succeeded, by step and kind of target.
         is_late: Whether it was admitted, or has begun, as a late job, which gets only
             capacity that jobs in time leave.
+        is_promised: Whether it was predicted to be in time when it was admitted.
         held: Ready tasks that the last pass of the scheduler left waiting although a
             target had capacity.
         error: Why it ended without a result, or None.
@@ -121,6 +122,7 @@
     has_run: bool = False
     run_logs: dict[int, dict[str, list[float]]] = field(default_factory=dict)
     is_late: bool = False
+    is_promised: bool = False
     held: int = 0
     error: DispatchError | None = None
     result: JobResult | None = None
--- a/src/jackdawkeel/scheduling/job_admission.py
+++ b/src/jackdawkeel/scheduling/job_admission.py
@@ -143,6 +143,7 @@
         # A queue whose callers have no time limits no others.
         queue.loads.record(job, now, is_admitted=is_in_time)
     job.is_late = admission is Admission.LATE
+    job.is_promised = is_in_time
     if is_in_time or job.is_late:
         return None
     release_s = predict_release_s(job, targets, queue, assignments, now)
--- a/src/jackdawkeel/scheduling/job_outcomes.py
+++ b/src/jackdawkeel/scheduling/job_outcomes.py
@@ -23,6 +23,14 @@
 MS_PER_S = 1000
 # Reason of a refusal of a job that was admitted and did not start in time.
 WAITED = "waited"
+# Errors of admitted jobs that show that the prediction was wrong.
+BROKEN_PROMISES = frozenset(
+    (
+        ErrorKind.OVERLOADED,
+        ErrorKind.DEADLINE_EXPIRED,
+        ErrorKind.DEADLINE_BEFORE_START,
+    )
+)
 
 
 class JobOutcomes:
@@ -30,7 +38,8 @@
 
     Attributes:
         counts: Jobs answered in time, late, and given up because a task crashes
-            targets, by queue, and refused, by queue and reason.
+            targets, by queue, and refused, by queue and reason; jobs that were
+            predicted to be in time and were, or were not, by queue.
     """
 
     def __init__(self, log: EventLog) -> None:
@@ -42,6 +51,8 @@
                 CounterName.JOBS_LATE,
                 CounterName.JOBS_REFUSED,
                 CounterName.JOBS_GIVEN_UP,
+                CounterName.PROMISES_KEPT,
+                CounterName.PROMISES_BROKEN,
             )
         }
 
@@ -93,6 +104,7 @@
             self.counts[name][job.queue.name] += 1
         elif job.error is not None and job.error.kind is ErrorKind.OVERLOADED:
             self._count_refused(job, WAITED)
+        self._count_promise(job, is_in_time)
         self.log.record(
             EventName.JOB_ENDED,
             job=job.spec.job_id,
@@ -103,6 +115,7 @@
             objective_ms=_to_ms(job.timing.objective_s),
             in_time=is_in_time,
             admitted_late=job.is_late,
+            promised=job.is_promised,
             orders=sum(task.attempts for tasks in job.tasks for task in tasks),
             stopped_orders=list(job.open_assignments),
         )
@@ -112,6 +125,15 @@
         for name, counts in self.counts.items():
             metrics.replace_counts(name, counts)
 
+    def _count_promise(self, job: Job, is_in_time: bool | None) -> None:
+        """Counts a job that was predicted to be in time, unless its caller left."""
+        is_served = is_in_time is not None
+        is_refused = job.error is not None and job.error.kind in BROKEN_PROMISES
+        if not job.is_promised or not (is_served or is_refused):
+            return
+        name = CounterName.PROMISES_KEPT if is_in_time else CounterName.PROMISES_BROKEN
+        self.counts[name][job.queue.name] += 1
+
     def _count_refused(self, job: Job, reason: str) -> None:
         self.counts[CounterName.JOBS_REFUSED][f"{job.queue.name}:{reason}"] += 1
 
--- a/tests/scheduling/test_shortage.py
+++ b/tests/scheduling/test_shortage.py
@@ -99,6 +99,7 @@
         self.rng = random.Random(seed)
         self.loop = asyncio.new_event_loop()
         self.targets = [FakeTarget(port) for port in range(1, AGENTS + 1)]
+        self.lost: set[int] = set()
         self.job_numbers = itertools.count()
         self.submissions: list[Submission] = []
         self.open: list[Submission] = []
@@ -169,7 +170,7 @@
             changed.add(index)
         is_tick = self.clock() >= self.next_tick_at
         for index, target in enumerate(self.targets):
-            if index in changed or is_tick:
+            if index not in self.lost and (index in changed or is_tick):
                 self._report(target)
         if is_tick:
             self.next_tick_at = self.clock() + TICK_S
@@ -191,8 +192,9 @@
             and job.can_be_in_time(self.clock())
         ]
         for sent in self.outbox.sent:
-            assert isinstance(sent.message, StartTasks)
             index = int(sent.recipient.incarnation, 16) - 1
+            if index in self.lost or not isinstance(sent.message, StartTasks):
+                continue
             for group in sent.message.jobs:
                 for assignment in group.assignments:
                     job = self.scheduler.jobs[assignment.task.split("/")[0]]
@@ -206,6 +208,13 @@
                     target.seen = max(target.seen, assignment.number)
         self.outbox.sent.clear()
 
+    def lose_targets(self, count: int) -> None:
+        """Makes the last targets silent; their runs never end."""
+        lost = set(range(AGENTS - count, AGENTS))
+        self.lost |= lost
+        self.running = [run for run in self.running if run[2] not in lost]
+        heapq.heapify(self.running)
+
     def run(self, load: float, seconds: float) -> None:
         """Submits jobs that claim a multiple of the capacity for some seconds."""
         rate = load * AGENTS * CAPACITY.cpu_millis / 1000 / WORK_S
@@ -271,6 +280,31 @@
         fleet = self.play(2.0)
         self.check_callers(fleet, in_time=0.4, answered=0.5, held=0.08)
 
+    def test_callers_get_answers_when_half_of_the_targets_are_lost(self) -> None:
+        fleet = Fleet(1)
+        self.addCleanup(fleet.close)
+        fleet.run(0.6, 1.0)
+        fleet.lose_targets(AGENTS // 2)
+        fleet.submissions.clear()
+        fleet.run(0.5, 3.0)
+        fleet.run(0.0, 10.0)
+        self.assertEqual([], fleet.open)
+        self.assertGreater(share(fleet.submissions[-100:], 3.0), 0.7)
+
+    def test_a_promise_is_counted_as_kept_or_broken(self) -> None:
+        fleet = self.play(1.1)
+        counts = fleet.scheduler.outcomes.counts
+        kept = counts[CounterName.PROMISES_KEPT].total()
+        broken = counts[CounterName.PROMISES_BROKEN].total()
+        self.assertGreater(kept, 0)
+        self.assertGreater(kept / (kept + broken), 0.95)
+        lines = [msgspec.json.decode(line) for line in fleet.log_lines if line.strip()]
+        ended = [line for line in lines if line.get("message_type") == "job_ended"]
+        promised = [line for line in ended if line["promised"]]
+        self.assertEqual(kept + broken, len(promised))
+        in_time = sum(bool(line["in_time"]) for line in promised)
+        self.assertEqual(kept, in_time)
+
     def test_no_queue_and_no_wide_job_is_starved(self) -> None:
         """The bound for wide jobs is half of the share of their queue."""
         jobs = [
