Do not count the delay of a lost call as run time of a target's tasks

Cause: an agent learns of ended runs from the answers of its target. While answers get lost, it learns of them up to 0.3 s late, and that delay counted as run time. The three targets had a slowness of 3.56, 2.37 and 2.21 in the logs (six runs of side-fukuoka-3 listed as ended at the same moment, 3.424 s). From 2.0 on a target ranks last, and tasks that would be late there wait for another one; without new runs the slowness stayed until its evidence expired.

Run times are now unknown when the target had not been asked for its ends for 50 ms: they count neither for the slowness of the target nor for the run times that entries learn. Failures count as before. The new test failed before (slowness 3.8); a second one checks that a slow target is still found.

--- a/src/jackdawkeel/messages/scheduling.py
+++ b/src/jackdawkeel/messages/scheduling.py
@@ -189,7 +189,8 @@
         number: Number of the assignment.
         status: A value of ``TaskStatus``.
         attempt: Attempt number under which the target ran the task.
-        run_ms: Time since the start of the run in milliseconds; 0 if it did not run.
+        run_ms: Time since the start of the run in milliseconds; 0 if it did not run or
+            its run time is unknown.
     """
 
     sequence: int
--- a/src/jackdawkeel/scheduling/job_scheduler.py
+++ b/src/jackdawkeel/scheduling/job_scheduler.py
@@ -368,7 +368,7 @@
         if status in (TaskStatus.FAILED, TaskStatus.LOST):
             assignment.task.avoided |= {agent}
         assignment.task.lost_runs += status is TaskStatus.LOST
-        if status is TaskStatus.DONE:
+        if status is TaskStatus.DONE and update.run_ms:
             self._record_run_time(assignment, update.run_ms)
         self._apply_end(job, assignment.task, status)
 
--- a/src/jackdawkeel/scheduling/run_quality.py
+++ b/src/jackdawkeel/scheduling/run_quality.py
@@ -90,7 +90,7 @@
         Args:
             run: The run.
             status: How it ended.
-            run_ms: Its run time in milliseconds.
+            run_ms: Its run time in milliseconds; 0 if it is unknown.
             now: Time in seconds.
         """
         if status is TaskStatus.DONE and not run.is_moved:
--- a/tests/scheduling/test_task_executor.py
+++ b/tests/scheduling/test_task_executor.py
@@ -146,6 +146,30 @@
         self.deliver_listing(self.started[1].run, ended=ends)
         self.assertEqual(self.started_tasks()[2:], ["task-4"])
 
+    def run_one(self, number: int, run_s: float, gap_s: float) -> None:
+        """Runs a task whose end is listed after a time without lists."""
+        self.assign(make_assignment(number))
+        run = self.started[-1]
+        self.confirm(run)
+        self.clock.advance(run_s)
+        self.deliver_listing(run.run)
+        self.clock.advance(gap_s)
+        self.deliver_listing(ended=(EndedTask(number, run.run, EndKind.DONE),))
+
+    def test_a_target_is_not_slow_because_its_agent_learns_of_ends_late(self) -> None:
+        for number in range(1, 5):
+            self.run_one(number, run_s=0.08, gap_s=0.3)
+        self.executor.tick()
+        self.assertEqual(self.executor.quality.slowness, 1.0)
+        updates = self.executor.leases.owners[ENTRY.incarnation].updates
+        self.assertEqual({update.run_ms for update in updates}, {0.0})
+
+    def test_a_target_whose_tasks_take_longer_is_slow(self) -> None:
+        for number in range(1, 5):
+            self.run_one(number, run_s=0.36, gap_s=0.04)
+        self.executor.tick()
+        self.assertAlmostEqual(self.executor.quality.slowness, 4.0)
+
     def test_recent_ends_are_counted_at_each_tick(self) -> None:
         """Reports to all entries use the counts of the last tick."""
         self.assign(make_assignment(1))
