--- a/src/jackdawkeel/scheduling/run_quality.py
+++ b/src/jackdawkeel/scheduling/run_quality.py
@@ -21,6 +21,10 @@
 
 
 MS_PER_S = 1000
+# Run times are unknown if the target was not asked for its ended runs for this time: a
+# lost call of an agent would otherwise make its target look slow. Far below the time
+# after which a call is given up, and above the delays of a busy agent.
+MAX_LISTING_GAP_S = 0.05
 
 
 class RunQuality:
@@ -29,6 +33,9 @@
     Attributes:
         target: Ends of recent runs.
         listed_at: When the target's newest list of runs was requested, in seconds.
+        received_at: When the last list arrived, in seconds.
+        are_ends_timely: Whether runs that the last list shows as ended have ended since
+            shortly before it was requested.
         median_slowness: Median of the slowness of all targets, as an entry reports it.
         slowness: Observed divided by expected run time, as of the last ``refresh``.
         recent_ends: Number of recent runs that ended, and of those that failed or made
@@ -38,10 +45,23 @@
     def __init__(self) -> None:
         self.target = TargetQuality()
         self.listed_at = 0.0
+        self.received_at = 0.0
+        self.are_ends_timely = True
         self.median_slowness = 1.0
         self.slowness = 1.0
         self.recent_ends = (0, 0)
 
+    def record_listing(self, requested_at: float, now: float) -> None:
+        """Records a list of the target's runs, before its ends are handled.
+
+        Args:
+            requested_at: When it was requested, in seconds.
+            now: When it arrived.
+        """
+        self.listed_at = max(self.listed_at, requested_at)
+        self.are_ends_timely = requested_at <= self.received_at + MAX_LISTING_GAP_S
+        self.received_at = now
+
     def refresh(self, now: float, runs: Iterable[TaskRun]) -> None:
         """Measures the target again, from recent ends and the open runs."""
         self.target.drop_expired(now)
--- a/src/jackdawkeel/scheduling/task_executor.py
+++ b/src/jackdawkeel/scheduling/task_executor.py
@@ -62,10 +62,6 @@
 EARLIER_RUN_WAIT_S = 0.04
 # Pause after an unhealthy target refused a start.
 UNHEALTHY_PAUSE_S = 0.3
-# Run times are unknown if the target was not asked for its ended runs for this time: a
-# lost call of an agent would otherwise make its target look slow. Far below the time
-# after which a call is given up, and above the delays of a busy agent.
-MAX_LISTING_GAP_S = 0.05
 # Time after which an unanswered stop is sent again.
 STOP_RESEND_INTERVAL_S = 0.1
 MS_PER_S = 1000
@@ -86,10 +82,6 @@
         leases: The entries that own the assignments.
         quality: Judges the target and its runs.
         crashes: Crashes of targets, and the tasks that may have caused them.
-        last_listing_at: When the target's last list of runs arrived, in seconds of the
-            clock.
-        are_ends_timely: Whether the runs that the present list shows as ended have
-            ended since shortly before it was requested.
         stop_requested_at: When a stop was first sent for each run that has not ended,
             in seconds of the clock.
         counts: Number of ended assignments by status.
@@ -133,8 +125,6 @@
         self.quality = RunQuality()
         self.crashes = CrashRecords(clock, log)
         self.paused_until = 0.0
-        self.last_listing_at = 0.0
-        self.are_ends_timely = True
         self.next_stop_at: dict[Run, float] = {}
         self.stop_requested_at: dict[Run, float] = {}
         self.counts: Counter[str] = Counter()
@@ -412,10 +402,7 @@
             listing: The target's reply.
             requested_at: When the list was requested, in seconds of the clock.
         """
-        self.quality.listed_at = max(self.quality.listed_at, requested_at)
-        listing_gap_s = requested_at - self.last_listing_at
-        self.are_ends_timely = listing_gap_s <= MAX_LISTING_GAP_S
-        self.last_listing_at = self.clock()
+        self.quality.record_listing(requested_at, self.clock())
         for end in listing.ended:
             self._handle_end(end)
         listed = {running_task.run for running_task in listing.running}
@@ -535,7 +522,8 @@
         self.next_stop_at.pop(run.run, None)
         self.stop_requested_at.pop(run.run, None)
         record_ended(self.log, run, status, run_ms, now)
-        if not self.are_ends_timely:
+        if not self.quality.are_ends_timely:
+            # The end may have been listed long after the run has ended.
             run_ms = 0.0
         self.quality.record_end(run, status, run_ms, now)
         self.counts[status.value] += 1
