--- a/tests/scheduling/test_shortage.py
+++ b/tests/scheduling/test_shortage.py
@@ -193,8 +193,9 @@
         ]
         for sent in self.outbox.sent:
             index = int(sent.recipient.incarnation, 16) - 1
-            if index in self.lost or not isinstance(sent.message, StartTasks):
+            if index in self.lost:
                 continue
+            assert isinstance(sent.message, StartTasks)
             for group in sent.message.jobs:
                 for assignment in group.assignments:
                     job = self.scheduler.jobs[assignment.task.split("/")[0]]
