--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -19,6 +19,8 @@
 from http.client import HTTPException
 from pathlib import Path
 
+from proxy import Cuts
+from proxy import Proxy
 from store import Store
 
 
@@ -69,9 +71,23 @@
         slots: Cores of each minion; a task of the cases takes one.
         labels: Labels of each minion, by index.
         validate: Whether the minions reject what does not fit.
+        proxied: Whether the connections to entries, links and the store go through
+            proxies, which obey ``cuts``.
     """
 
-    def __init__(self, record, entries=2, agents=3, slots=4, labels=None, validate=True):
+    def __init__(
+        self,
+        record,
+        entries=2,
+        agents=3,
+        slots=4,
+        labels=None,
+        validate=True,
+        proxied=False,
+    ):
+        self.proxied = proxied
+        self.cuts = Cuts()
+        self.advertised = {}
         self.record = record
         self.entry_count = entries
         self.agent_count = agents
@@ -132,7 +148,9 @@
         self.store = Store(f"{host}:{port}")
         self.put_configuration()
         self.link_port = self.pick_address(11)[1]
-        seeds = f"127.{self.net[0]}.{self.net[1]}.11:{self.link_port}"
+        # A seed may be stale; one that is not would lead past the proxies.
+        seed = 250 if self.proxied else 11
+        seeds = f"127.{self.net[0]}.{self.net[1]}.{seed}:{self.link_port}"
         for index in range(self.entry_count):
             self._define_entry(index, seeds)
         for index in range(self.agent_count):
@@ -157,15 +175,34 @@
             "platform.historyS": 20, "platform.valueBytes": 1048576,
             "platform.minTtlMs": 1000,
         } | zones | {f"bounds.{key}": value for key, value in BOUNDS.items()} | extra
+        if self.proxied:
+            self._add_proxies(name, ip, settings)
         path = self.folder / f"{name}.conf"
         path.write_text("".join(f"{k}={v}\n" for k, v in settings.items()))
         self.settings[name] = (role, path)
 
+    def _open_proxy(self, ip, upstream, **machines):
+        host, port = self.pick_address(int(ip.rpartition(".")[2]))
+        Proxy(self.cuts, (host, port), upstream, **machines)
+        return host, port
+
+    def _add_proxies(self, name, ip, settings):
+        host, _, port = self.store.address.rpartition(":")
+        store = self._open_proxy(ip, (host, int(port)), target="store", source=ip)
+        settings["platform.address"] = f"{store[0]}:{store[1]}"
+        link = self._open_proxy(ip, (ip, self.link_port), target=ip)
+        self.advertised[name] = f"{link[0]}:{link[1]}"
+
     def _define_entry(self, index, seeds):
         number = 11 + index
         (ip, http), (_, ready) = self.pick_address(number), self.pick_address(number)
         name, zone = f"entry-{index}", ZONES[index % 3]
-        self.entries.append({"name": name, "ip": ip, "http": http, "ready": ready})
+        reached = http
+        if self.proxied:
+            # Clients have one name, whatever their addresses are.
+            machines = {"target": f"{ip} callers", "source": "clients"}
+            reached = self._open_proxy(ip, (ip, http), **machines)[1]
+        self.entries.append({"name": name, "ip": ip, "http": reached, "ready": ready})
         self._define(name, "entry", ip, {
             "zone": zone, "machineClass": "edge", "serves": "edge,control",
             "bindAddresses.http": f"{ip}:{http}",
@@ -205,6 +242,8 @@
         """Starts an entry or an agent with the command of the deploy file."""
         role, path = self.settings[name]
         extra = {"PYTHONPATH": "target/deps", "JACKDAWKEEL_BOOT": str(path)}
+        if name in self.advertised:
+            extra["JACKDAWKEEL_ADVERTISE"] = self.advertised[name]
         self._launch(name, self.run[role], extra)
         self.record.write(f"start {name}")
 
