--- a/review/standins/minion.py
+++ b/review/standins/minion.py
@@ -1,13 +1,16 @@
 """Stand-in for a minion: one boot of a worker that runs tasks under a lease.
 
 It follows "Running tasks" and "Service discovery" of the users' PROTOCOL.md and uses
-only the standard library. The run time of a task is its job's spec, in milliseconds.
+only the standard library. The run time of a task is its job's spec, in milliseconds; a
+spec of "deadly N" crashes the minion N milliseconds after the start.
 Each start and end is appended to the log file as one JSON line, with times of the
 machine's monotonic clock.
 """
 
 import argparse
 import json
+import os
+import signal
 import threading
 import time
 from http.client import HTTPConnection
@@ -63,7 +66,7 @@
                 for key, run in list(self.running.items()):
                     if self.clock_ms() > self.lease_ms:
                         self.end(key, "lapsed")
-                    elif now >= run["at"] + run["for_s"]:
+                    elif now >= run["at"] + run["for_s"] and not run["deadly"]:
                         self.end(key, "done")
 
     def extend(self, body):
@@ -84,8 +87,10 @@
             self.extend(body)
             return 409, {"reason": "room"}
         self.extend(body)
-        for_s = int(body["spec"]) / 1000
-        self.running[key] = {"at": time.monotonic(), "for_s": for_s}
+        word, _, run_ms = body["spec"].rpartition(" ")
+        for_s = int(run_ms) / 1000
+        run = {"at": time.monotonic(), "for_s": for_s, "deadly": word == "deadly"}
+        self.running[key] = run
         self.note(
             "start",
             task=key[0],
@@ -93,8 +98,17 @@
             spec=body["spec"],
             labels=self.options.labels,
         )
+        if word == "deadly":
+            threading.Timer(for_s, self.crash, key).start()
         return 200, {}
 
+    def crash(self, task, attempt):
+        """Goes dark: the process stops and answers nothing until it is ended."""
+        with self.lock:
+            if (task, attempt) in self.running:
+                self.note("crash", task=task, attempt=attempt)
+                os.kill(os.getpid(), signal.SIGSTOP)
+
     def stop(self, body):
         task, attempt = body["task"], body["attempt"]
         self.rejected[task] = max(self.rejected.get(task, 0), attempt)
--- a/review/standins/proxy.py
+++ b/review/standins/proxy.py
@@ -2,9 +2,14 @@
 
 ``Cuts`` tells which directions are cut; all proxies of a test share it. Bytes that
 arrive meanwhile are delivered, in order, once the cut is over.
+
+A reset is sent once and never again, so one that is sent during a cut is lost. The peer
+then learns of it from the answer to its next keep-alive probe: it has probed since the
+last byte that it received, at the interval that it has set itself.
 """
 
 import socket
+import struct
 import threading
 import time
 
@@ -43,14 +48,15 @@
         upstream: Host and port to forward to.
         target: Name of the machine behind the proxy in ``cuts``.
         source: Name of the machine in front of it; None for the peer's host.
+        probe_s: Interval of the keep-alive probes of the machine behind the proxy.
     """
 
-    def __init__(self, cuts, listen, upstream, target, source=None):
+    def __init__(self, cuts, listen, upstream, target, source=None, probe_s=1.0):
+        self.probe_s = probe_s
         self.cuts = cuts
         self.upstream = upstream
         self.target = target
         self.source = source
-        self.open = set()
         self.listener = socket.create_server(listen, backlog=128)
         threading.Thread(target=self._accept, daemon=True).start()
 
@@ -79,7 +85,6 @@
         far.settimeout(None)
         for end in (near, far):
             end.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self.open.add(end)
         other = threading.Thread(
             target=self._pump, args=(far, near, self.target, source), daemon=True
         )
@@ -87,15 +92,16 @@
         self._pump(near, far, source, self.target)
         other.join()
         for end in (near, far):
-            self.open.discard(end)
             end.close()
 
     def _pump(self, reader, writer, source, target):
+        passed_at = time.monotonic()
         while True:
             try:
                 data = reader.recv(65536)
             except OSError:
-                data = b""
+                self._pass_reset(writer, source, target, passed_at)
+                return
             self._wait(source, target)
             try:
                 if not data:
@@ -103,5 +109,19 @@
                     return
                 writer.sendall(data)
             except OSError:
-                reader.close()
                 return
+            passed_at = time.monotonic()
+
+    def _pass_reset(self, writer, source, target, passed_at):
+        if self.cuts.blocks(source, target):
+            self._wait(source, target)
+            silent_s = time.monotonic() - passed_at
+            time.sleep(self.probe_s - silent_s % self.probe_s)
+        try:
+            linger = struct.pack("ii", 1, 0)
+            writer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            # The other thread may wait for data of this socket.
+            writer.shutdown(socket.SHUT_RD)
+        except OSError:
+            pass
+        writer.close()
