--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -101,6 +101,7 @@
         self.out_of_rotation = set()
         self.version = 0
         self.closed = threading.Event()
+        self.launching = threading.Lock()
 
     # Addresses.
 
@@ -129,7 +130,8 @@
         return self
 
     def __exit__(self, *_):
-        self.closed.set()
+        with self.launching:
+            self.closed.set()
         for process in self.processes.values():
             if process.poll() is None:
                 process.kill()
@@ -230,6 +232,13 @@
     def _launch(self, name, command, extra):
         keep = ("PATH", "HOME", "LANG")
         env = {key: os.environ[key] for key in keep if key in os.environ} | extra
+        with self.launching:
+            # A timer of a case may come late; nothing starts while all is ended.
+            if self.closed.is_set():
+                return
+            self._open_process(name, command, env)
+
+    def _open_process(self, name, command, env):
         output = open(self.folder / f"{name}.log", "ab")
         errors = open(self.folder / f"{name}.err", "ab")
         with output, errors:
