--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -73,6 +73,7 @@
         validate: Whether the minions reject what does not fit.
         proxied: Whether the connections to entries, links and the store go through
             proxies, which obey ``cuts``.
+        memory_mb: Limit of the memory of a process, for its settings.
     """
 
     def __init__(
@@ -84,7 +85,9 @@
         labels=None,
         validate=True,
         proxied=False,
+        memory_mb=300,
     ):
+        self.memory_mb = memory_mb
         self.proxied = proxied
         self.cuts = Cuts()
         self.advertised = {}
@@ -170,7 +173,7 @@
             "nodeName": name, "role": role, "ip": ip, "region": "region-1",
             "portRange": f"{self.link_port},{self.link_port + 15}",
             "bootstrap": "true", "lossCounts": "false", "heartbeatMs": 1500,
-            "limits.cores": 2, "limits.memoryMb": 300, "limits.maxFds": 4100,
+            "limits.cores": 2, "limits.memoryMb": self.memory_mb, "limits.maxFds": 4100,
             "discovery": "local", "ingress": "vip", "controlMode": "request",
             "platform.address": self.store.address, "platform.form": "kv",
             "platform.writesPerS": 400, "platform.readsPerS": 2000,
