An entry that starts learns the open jobs of the others before it serves

What callers saw (in a test): a job that comes back through an entry which has just started runs beside the runs of the entry that owns it, because the new process had no announcement yet.

Cause: the announcements began with the first tick, after the entry had begun to listen.

Change: a starting entry announces itself as soon as it has read the list of entries, and listens once all of them have replied; it waits at most 0.2 s for those that don't, while it waits for a first target anyway.

--- a/src/jackdawkeel/scheduling/entry_node.py
+++ b/src/jackdawkeel/scheduling/entry_node.py
@@ -77,6 +77,8 @@
 # half a second of their start.
 FIRST_TARGET_WAIT_S = 1.5
 FIRST_TARGET_POLL_INTERVAL_S = 0.02
+# A starting entry waits this long for the jobs of an entry that doesn't reply.
+ANNOUNCEMENT_WAIT_S = 0.2
 # Time after which all agents of a starting fleet have reported their capacity: targets
 # send a heartbeat every 1.5 s.
 AGENT_DISCOVERY_S = 2.0
@@ -343,7 +345,7 @@
                 self.registration.worker,
             ):
                 stack.enter_context(resource)
-            await self._wait_for_targets()
+            await self._wait_for_fleet()
             self.scheduler.queue.discovers_until = self.clock() + AGENT_DISCOVERY_S
             await self.loop.run_in_executor(None, server.__enter__)
             tasks = [
@@ -369,11 +371,27 @@
             for task in tasks:
                 task.cancel()
 
-    async def _wait_for_targets(self) -> None:
-        """Waits a short time for a first target, so that early jobs are not refused."""
+    async def _wait_for_fleet(self) -> None:
+        """Waits a short time for a first target and for the jobs of other entries.
+
+        Early jobs would be refused, or run beside those of an entry that owns them.
+        """
+        ownership = self.scheduler.ownership
+        entry_list = self.registration.entry_list
         wait_deadline = self.clock() + FIRST_TARGET_WAIT_S
-        while self.clock() < wait_deadline and not self.views.has_accepting():
+        listed_at = None
+        while self.clock() < wait_deadline:
             await asyncio.sleep(FIRST_TARGET_POLL_INTERVAL_S)
+            if not entry_list.is_read:
+                continue
+            now = self.clock()
+            listed_at = now if listed_at is None else listed_at
+            ownership.advance(is_connected=False)
+            # A registered entry may have ended.
+            has_jobs = now >= listed_at + ANNOUNCEMENT_WAIT_S
+            has_jobs |= ownership.peers.has_all_announcements()
+            if has_jobs and self.views.has_accepting():
+                return
 
     def tick(self) -> None:
         """Makes the scheduler handle timeouts and assign tasks."""
--- a/src/jackdawkeel/scheduling/entry_peers.py
+++ b/src/jackdawkeel/scheduling/entry_peers.py
@@ -92,6 +92,10 @@
         announced = message.jobs[:MAX_ANNOUNCED_JOBS]
         peer.generations = {job.job_id: job.generation for job in announced}
 
+    def has_all_announcements(self) -> bool:
+        """Returns whether every registered entry has announced its jobs."""
+        return all(entry.incarnation in self.peers for entry in self.list_entries())
+
     def find_owners(self, job_id: str) -> list[EntryPeer]:
         """Returns the entries that may run a job."""
         return [
--- a/src/jackdawkeel/scheduling/owner_beats.py
+++ b/src/jackdawkeel/scheduling/owner_beats.py
@@ -30,13 +30,16 @@
     Attributes:
         entries: Their addresses.
         version: Number of changes so far.
+        is_read: Whether the store has been read.
     """
 
     entries: list[PeerAddress] = field(default_factory=list)
     version: int = 0
+    is_read: bool = False
 
     def replace(self, entries: list[PeerAddress]) -> None:
         """Sets the addresses and counts a change, if they differ."""
+        self.is_read = True
         if entries != self.entries:
             self.entries = entries
             self.version += 1
--- a/tests/integration/test_resubmission.py
+++ b/tests/integration/test_resubmission.py
@@ -16,7 +16,7 @@
 
 
 JOB_ID = make_job_id(1)
-RUN_MS = 4000
+RUN_MS = 6000
 # Shorter than the leases, so that the runs go on.
 CUT_S = 0.4
 
@@ -96,3 +96,22 @@
         second_caller.join()
         self.assertEqual(self.statuses, [200])
         self.assertEqual(len(self.fleet.runs_of(JOB_ID)), 4)
+
+    def test_entry_that_has_just_started_does_not_run_the_job_of_another_one(
+        self,
+    ) -> None:
+        self.first_caller.join()
+        time.sleep(RESUBMISSION_DELAY_S)
+        self.second.process.restart()
+        wait_until(self.is_second_ready, "the second entry to be ready")
+        answer = self.fleet.submit(JOB_ID, 1, estimate_ms=RUN_MS)
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(len(self.fleet.runs_of(JOB_ID)), 2)
+
+    def is_second_ready(self) -> bool:
+        """Returns whether the second entry passes a readiness check."""
+        url = f"{self.second.readiness_url}/-/readyz"
+        try:
+            return self.fleet.http.request("GET", url, timeout=1.0).status == 200
+        except urllib3.exceptions.HTTPError:
+            return False
