A terminating entry ends the jobs that callers of other entries wait for

What callers saw (in a test): the work of a job was lost and done again when its owner was stopped, although its shutdown time sufficed to end it: its own caller had left, and the entry exits once it has no request in flight.

Cause: requests in flight stood for open jobs, which no longer holds for jobs that other entries have joined.

Change: the drain also waits for open jobs, up to the shutdown time as before.

--- a/src/jackdawkeel/scheduling/entry_node.py
+++ b/src/jackdawkeel/scheduling/entry_node.py
@@ -410,7 +410,8 @@
         self.scheduler.queue.shutdown_at = shutdown_at
         while self.clock() < shutdown_at:
             is_out_of_rotation = self.clock() >= drain_started_at + BALANCER_REMOVAL_S
-            if is_out_of_rotation and not self.in_flight:
+            has_work = self.in_flight or self.scheduler.jobs
+            if is_out_of_rotation and not has_work:
                 self.is_refusing = True
                 await asyncio.sleep(LAST_REQUEST_S)
                 return
--- a/tests/integration/test_resubmission.py
+++ b/tests/integration/test_resubmission.py
@@ -115,3 +115,14 @@
             return self.fleet.http.request("GET", url, timeout=1.0).status == 200
         except urllib3.exceptions.HTTPError:
             return False
+
+    def test_entry_that_terminates_ends_a_job_for_the_caller_of_another_one(
+        self,
+    ) -> None:
+        second_caller = self.resubmit()
+        wait_until(lambda: self.count_events("job_joined") == 1, "the job to be joined")
+        self.first.proxies["callers"].release()
+        self.first.process.terminate()
+        second_caller.join()
+        self.assertEqual(self.statuses, [200])
+        self.assertEqual(len(self.fleet.runs_of(JOB_ID)), 2)
