One odd entry from outside no longer hides the others, or ends a follower

What users saw: operators of similar systems reported machines that ended or stopped following a list because of one entry that was very deeply nested or had a number too large.

Cause: msgspec raises RecursionError for deep nesting, which most decoders did not expect. A deep value in a target's listing failed each listing, so that the agent lost the target's runs; in the configuration, it restarted the reading of the store for ever; in a job, it was an internal error. Rows of a listing were decoded as a whole, so that one row of another type had the same effect. Integers had no bound: one of 400 digits in remainingMs or estimateMs raised OverflowError, and one above 2^64 as capacity made every report of the agent impossible to encode.

Change: one tuple of errors for all decoders; rows of a listing are decoded one by one, after values that are nested too deeply have been replaced if need be; amounts are bounded by 2^53 - 1, and the error names the field.

A row of a listing is decoded once instead of three or four times.

--- a/src/jackdawkeel/console/commands/status.py
+++ b/src/jackdawkeel/console/commands/status.py
@@ -4,9 +4,9 @@
 
 import os
 
-import msgspec
 from result import Err
 
+from ...decode_errors import DECODE_ERRORS
 from ...settings import CLIENT_OPTIONS
 from ...settings import read_client_settings
 from ...status import decode_status_report
@@ -40,7 +40,7 @@
         return ExitCode.FAILED
     try:
         report = decode_status_report(response.body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         print_error(
             f"can't get the status: the reply is not a valid report: {str(error)!a}"
         )
--- a/src/jackdawkeel/console/job_submission.py
+++ b/src/jackdawkeel/console/job_submission.py
@@ -12,6 +12,7 @@
 from result import Ok
 from result import Result
 
+from ..decode_errors import DECODE_ERRORS
 from ..errors import ErrorKind
 from ..settings import MS_PER_S
 from .entry_client import CallError
@@ -118,7 +119,7 @@
         return Err(response)
     try:
         return Ok(msgspec.json.decode(response.body, type=IdsResponse).ids[0])
-    except (msgspec.MsgspecError, UnicodeDecodeError, IndexError):
+    except (*DECODE_ERRORS, IndexError):
         return Err(
             CallError("the reply to /v1/ids contains no id", may_have_arrived=True)
         )
--- a/src/jackdawkeel/console/responses.py
+++ b/src/jackdawkeel/console/responses.py
@@ -5,10 +5,9 @@
 import sys
 from typing import TYPE_CHECKING
 
-import msgspec
-
 from ..answer import Answer
 from ..answer import decode_answer
+from ..decode_errors import DECODE_ERRORS
 from ..errors import Outcome
 from .command import ExitCode
 
@@ -31,7 +30,7 @@
     """Returns the answer in a response, or None if the body is not a valid answer."""
     try:
         return decode_answer(response.body)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+    except DECODE_ERRORS:
         return None
 
 
--- a/src/jackdawkeel/controllers/document.py
+++ b/src/jackdawkeel/controllers/document.py
@@ -7,6 +7,7 @@
 from result import Ok
 from result import Result
 
+from ..decode_errors import DECODE_ERRORS
 from ..errors import DispatchError
 from ..errors import ErrorKind
 from ..ticket import ConfigurationDocument
@@ -27,6 +28,6 @@
         return Ok(ConfigurationDocument())
     try:
         return Ok(msgspec.json.decode(encoded, type=ConfigurationDocument))
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         message = f"the stored configuration cannot be decoded: {error}"
         return Err(DispatchError(ErrorKind.INTERNAL, message))
--- a/src/jackdawkeel/entry/jobs.py
+++ b/src/jackdawkeel/entry/jobs.py
@@ -12,6 +12,7 @@
 from ..answer import Answer
 from ..answer import answer_error
 from ..controllers.job_keys import claim_key
+from ..decode_errors import DECODE_ERRORS
 from ..errors import DispatchError
 from ..errors import ErrorKind
 from ..job_id import mint_job_id
@@ -59,7 +60,7 @@
     """Mints job ids that are spread over up to ``MAX_HOMES_PER_BATCH`` homes."""
     try:
         model = msgspec.json.decode(body, type=IdsRequest)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         text = f"the body is not a valid request for ids: {error}"
         return Err(DispatchError(ErrorKind.BAD_REQUEST, text))
     if not 1 <= model.count <= MAX_IDS:
--- a/src/jackdawkeel/job_request.py
+++ b/src/jackdawkeel/job_request.py
@@ -10,6 +10,7 @@
 from result import Ok
 from result import Result
 
+from .decode_errors import DECODE_ERRORS
 from .errors import DispatchError
 from .errors import ErrorKind
 
@@ -66,7 +67,7 @@
         return Err(DispatchError(ErrorKind.BODY_TOO_LARGE, message))
     try:
         model = msgspec.json.decode(body, type=JobModel)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         return Err(_bad_request(f"the body is not a valid job: {error}"))
     violation = _find_violation(model)
     if violation:
--- a/src/jackdawkeel/platform/configuration.py
+++ b/src/jackdawkeel/platform/configuration.py
@@ -5,6 +5,7 @@
 import msgspec
 from result import as_result
 
+from ..decode_errors import DECODE_ERRORS
 from ..scheduling.specification import Limits
 from ..scheduling.specification import Queue
 from ..scheduling.specification import QueueConfiguration
@@ -30,7 +31,7 @@
     """
     try:
         raw = msgspec.json.decode(value, type=WireConfiguration)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise ConfigurationError(str(error)) from None
     return QueueConfiguration(
         version=raw.version,
--- a/src/jackdawkeel/platform/heartbeats.py
+++ b/src/jackdawkeel/platform/heartbeats.py
@@ -8,6 +8,7 @@
 import msgspec
 from result import as_result
 
+from ..decode_errors import DECODE_ERRORS
 from ..scheduling.resources import Resources
 from ..scheduling.target_report import TargetReport
 from .wire import WireHeartbeat
@@ -47,7 +48,7 @@
     """Decodes the heartbeat of a target instance."""
     try:
         raw = msgspec.json.decode(body, type=WireHeartbeat)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise HeartbeatError(str(error)) from None
     if raw.state not in (READY_STATE, DRAINING_STATE):
         raise HeartbeatError(f"unknown target state {raw.state!a}")
--- a/src/jackdawkeel/platform/store.py
+++ b/src/jackdawkeel/platform/store.py
@@ -14,6 +14,7 @@
 from result import Result
 from urllib3.exceptions import HTTPError
 
+from ..decode_errors import DECODE_ERRORS
 from ..store.call_counter import CallCounter
 from ..store.call_counter import CallKind
 from ..store.failures import classify_http_error
@@ -225,7 +226,7 @@
 ) -> Result[BodyT, StoreError]:
     try:
         return Ok(msgspec.json.decode(response.data, type=body_type))
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         message = f"{kind}: cannot decode the response: {error}"
         return Err(StoreError(error_kind_after_send(kind), message))
 
--- a/src/jackdawkeel/platform/store_watch.py
+++ b/src/jackdawkeel/platform/store_watch.py
@@ -14,6 +14,7 @@
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 
+from ..decode_errors import DECODE_ERRORS
 from ..store.call_counter import CallCounter
 from ..store.call_counter import CallKind
 from ..store.failures import interrupt_read
@@ -113,7 +114,7 @@
     def _decode(self, body: bytes) -> Result[list[KeyChange], StoreError]:
         try:
             answer = msgspec.json.decode(body, type=WireWatchResponse)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        except DECODE_ERRORS as error:
             text = f"watch: cannot decode the response: {error}"
             return _error(StoreErrorKind.UNAVAILABLE, text)
         self.last_revision = max(self.last_revision, answer.as_of)
--- a/src/jackdawkeel/platform/submissions.py
+++ b/src/jackdawkeel/platform/submissions.py
@@ -8,6 +8,7 @@
 import msgspec
 from result import as_result
 
+from ..decode_errors import DECODE_ERRORS
 from ..errors import DispatchError
 from ..errors import ErrorKind
 from ..scheduling.resources import Resources
@@ -55,7 +56,7 @@
         raise SubmissionError(ErrorKind.BAD_REQUEST, text)
     try:
         raw = msgspec.json.decode(body, type=WireJob)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         raise SubmissionError(ErrorKind.BAD_REQUEST, f"invalid job: {error}") from None
     _check_job(raw)
     steps = tuple(_decode_step(index, step) for index, step in enumerate(raw.steps))
--- a/src/jackdawkeel/platform/target_runtime.py
+++ b/src/jackdawkeel/platform/target_runtime.py
@@ -9,6 +9,7 @@
 
 from ..clock import read_boot_clock
 from ..clock import read_running_clock
+from ..decode_errors import DECODE_ERRORS
 from ..scheduling.leases import TARGET_CLOCK_DRIFT
 from ..scheduling.target_runtime import EndedTask
 from ..scheduling.target_runtime import EndKind
@@ -17,11 +18,14 @@
 from ..scheduling.target_runtime import RunningTask
 from ..scheduling.target_runtime import StartOutcome
 from ..scheduling.target_runtime import TargetFailure
+from .json_depth import prune_deep_values
 from .target_connections import NoResponseError
 from .target_connections import NotSentError
 from .target_connections import TargetConnections
+from .wire import WireFinished
 from .wire import WireHold
 from .wire import WireHoldResponse
+from .wire import WireRunning
 from .wire import WireStart
 from .wire import WireStop
 from .wire import WireTargetResponse
@@ -45,6 +49,12 @@
     "late": StartOutcome.LEASE_EXPIRED,
     "room": StartOutcome.NO_ROOM,
 }
+LISTING_DECODER = msgspec.json.Decoder(WireHoldResponse)
+RUNNING_DECODER = msgspec.json.Decoder(WireRunning)
+FINISHED_DECODER = msgspec.json.Decoder(WireFinished)
+# The fields of a row of a listing; they have no parts.
+MAX_LISTING_DEPTH = 3
+
 END_KIND_BY_NAME = {"done": EndKind.DONE, "failed": EndKind.FAILED}
 
 
@@ -206,9 +216,8 @@
         if status != 200:
             failure = _classify_failure(status, self._record_clock(data))
             return failure or TargetFailure.NO_ANSWER
-        try:
-            reply = msgspec.json.decode(data, type=WireHoldResponse)
-        except (msgspec.MsgspecError, UnicodeDecodeError):
+        reply = _decode_listing(data)
+        if reply is None:
             return TargetFailure.NO_ANSWER
         self.clock.record(reply.clock_ms)
         return Listing(
@@ -227,7 +236,7 @@
     def _record_clock(self, data: bytes) -> WireTargetResponse:
         try:
             answer = msgspec.json.decode(data, type=WireTargetResponse)
-        except (msgspec.MsgspecError, UnicodeDecodeError):
+        except DECODE_ERRORS:
             return WireTargetResponse()
         if answer.clock_ms:
             self.clock.record(answer.clock_ms)
@@ -249,24 +258,31 @@
     return TargetFailure.NO_ANSWER
 
 
-def _decode_running(row: list[msgspec.Raw]) -> RunningTask | None:
+def _decode_listing(data: bytes) -> WireHoldResponse | None:
+    try:
+        return LISTING_DECODER.decode(data)
+    except RecursionError:
+        data = prune_deep_values(data, MAX_LISTING_DEPTH)
+    except DECODE_ERRORS:
+        return None
+    try:
+        return LISTING_DECODER.decode(data)
+    except DECODE_ERRORS:
+        return None
+
+
+def _decode_running(row: msgspec.Raw) -> RunningTask | None:
     try:
-        task = msgspec.json.decode(row[0], type=str)
-        attempt = msgspec.json.decode(row[1], type=int)
-        percent = msgspec.json.decode(row[3], type=float)
-    except (msgspec.MsgspecError, IndexError):
+        raw = RUNNING_DECODER.decode(row)
+    except DECODE_ERRORS:
         return None
-    return RunningTask(Run(task, attempt), percent)
+    return RunningTask(Run(raw.task, raw.attempt), raw.percent)
 
 
-def _decode_ended(row: list[msgspec.Raw]) -> EndedTask | None:
+def _decode_ended(row: msgspec.Raw) -> EndedTask | None:
     try:
-        number = msgspec.json.decode(row[0], type=int)
-        task = msgspec.json.decode(row[1], type=str)
-        attempt = msgspec.json.decode(row[2], type=int)
-        word = msgspec.json.decode(row[3], type=str)
-    except (msgspec.MsgspecError, IndexError):
+        raw = FINISHED_DECODER.decode(row)
+    except DECODE_ERRORS:
         return None
-    return EndedTask(
-        number, Run(task, attempt), END_KIND_BY_NAME.get(word, EndKind.OTHER)
-    )
+    kind = END_KIND_BY_NAME.get(raw.how, EndKind.OTHER)
+    return EndedTask(raw.number, Run(raw.task, raw.attempt), kind)
--- a/src/jackdawkeel/platform/wire.py
+++ b/src/jackdawkeel/platform/wire.py
@@ -5,17 +5,26 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
 
+# Larger integers are not exact in all JSON implementations.
+MAX_INTEGER = 2**53 - 1
+Amount = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+# The error for a negative amount of a job names the step instead.
+JobAmount = Annotated[int, msgspec.Meta(le=MAX_INTEGER)]
+
+
 class WireStep(msgspec.Struct, frozen=True, rename="camel"):
     """A step of a submitted job; a step is a group of equal tasks."""
 
-    count: int
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-    estimate_ms: int = 0
+    count: JobAmount
+    cpu: JobAmount = 0
+    mem_mb: JobAmount = 0
+    gpu: JobAmount = 0
+    estimate_ms: JobAmount = 0
     after: list[int] = []
     checkpointing: bool = False
     gang: bool = False
@@ -23,7 +32,7 @@
     required_label: str = ""
     # Name of the rack that stores the data of the step.
     affinity: str = ""
-    max_per_server: int = 0
+    max_per_server: JobAmount = 0
     speculative: bool = False
     long_running: bool = False
     image: str = ""
@@ -47,9 +56,9 @@
 class WireCapacity(msgspec.Struct, frozen=True, rename="camel"):
     """The resources that a target offers."""
 
-    cpu: int
-    mem_mb: int
-    gpu: int = 0
+    cpu: Amount
+    mem_mb: Amount
+    gpu: Amount = 0
 
 
 class WireHeartbeat(msgspec.Struct, frozen=True, rename="camel"):
@@ -59,10 +68,10 @@
     zone: str
     state: str
     room: WireCapacity
-    sequence: int
+    sequence: Amount
     labels: list[str] = []
-    born: int = 0
-    remaining_ms: int | None = None
+    born: Amount = 0
+    remaining_ms: Amount | None = None
 
 
 class WireStart(msgspec.Struct, frozen=True, rename="camel", omit_defaults=True):
@@ -98,19 +107,39 @@
 class WireTargetResponse(msgspec.Struct, frozen=True, rename="camel"):
     """Fields common to all responses of a target: its clock, and a refusal's reason."""
 
-    clock_ms: int = 0
+    clock_ms: Amount = 0
     reason: str = ""
 
 
+class WireRunning(msgspec.Struct, frozen=True, array_like=True):
+    """A running task in a ``WireHoldResponse``; its load may follow."""
+
+    task: str
+    attempt: Amount
+    checkpoint: msgspec.Raw
+    # Percentage of its work that is done.
+    percent: float
+
+
+class WireFinished(msgspec.Struct, frozen=True, array_like=True):
+    """An ended task in a ``WireHoldResponse``; its checkpoint may follow."""
+
+    # Sequence number of the end.
+    number: Amount
+    task: str
+    attempt: Amount
+    how: str
+
+
 class WireHoldResponse(msgspec.Struct, frozen=True, rename="camel"):
     """Response to ``WireHold``: running tasks, and ended ones not yet acknowledged."""
 
-    clock_ms: int = 0
-    # Rows of task, attempt, checkpoint, percentage of work done, and load.
-    running: list[list[msgspec.Raw]] = []
-    # Rows of sequence number, task, attempt, result, and checkpoint.
-    finished: list[list[msgspec.Raw]] = []
-    born: int = 0
+    clock_ms: Amount = 0
+    # Each row is decoded as ``WireRunning``, so that the others are valid without it.
+    running: list[msgspec.Raw] = []
+    # Each row is decoded as ``WireFinished``.
+    finished: list[msgspec.Raw] = []
+    born: Amount = 0
 
 
 class WireRoute(msgspec.Struct, frozen=True, rename="camel"):
@@ -120,10 +149,10 @@
     host: str
     prefix: str
     service: str
-    priority: int = 0
-    max_attempts: int = 1
+    priority: JobAmount = 0
+    max_attempts: JobAmount = 1
     stretch_factor: float = 1.0
-    target_latency_ms: int = 0
+    target_latency_ms: JobAmount = 0
 
 
 class WireLimits(msgspec.Struct, frozen=True, rename="camel"):
--- a/src/jackdawkeel/store/etcd.py
+++ b/src/jackdawkeel/store/etcd.py
@@ -13,6 +13,7 @@
 from result import Result
 from urllib3.exceptions import HTTPError
 
+from ..decode_errors import DECODE_ERRORS
 from . import etcd_wire as wire
 from .call_counter import CallCounter
 from .call_counter import CallKind
@@ -182,7 +183,7 @@
             return Ok(
                 msgspec.json.decode(response.data, type=response_type, strict=False)
             )
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        except DECODE_ERRORS as error:
             message = f"{kind}: cannot decode the response: {error}"
             return Err(StoreError(error_kind_after_send(kind), message))
 
@@ -219,7 +220,7 @@
 def _decode_reason(body: bytes) -> str:
     try:
         reason = msgspec.json.decode(body, type=wire.ErrorResponse).message
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except DECODE_ERRORS:
         reason = body.decode(errors="replace")
     return reason[:MAX_ERROR_CHARACTERS]
 
--- a/src/jackdawkeel/store/etcd_watch.py
+++ b/src/jackdawkeel/store/etcd_watch.py
@@ -15,6 +15,7 @@
 from urllib3.exceptions import HTTPError
 from urllib3.exceptions import ReadTimeoutError
 
+from ..decode_errors import DECODE_ERRORS
 from . import etcd_wire as wire
 from .call_counter import CallCounter
 from .call_counter import CallKind
@@ -223,7 +224,7 @@
     def _decode(self, line: bytes) -> Result[list[KeyChange], StoreError]:
         try:
             response = msgspec.json.decode(line, type=wire.WatchResponse, strict=False)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        except DECODE_ERRORS as error:
             return _unavailable(f"watch: cannot decode a line: {error}")
         if response.result is None:
             reason = response.error.message if response.error else "no result"
--- a/src/jackdawkeel/target/client.py
+++ b/src/jackdawkeel/target/client.py
@@ -13,6 +13,7 @@
 from urllib3.exceptions import IncompleteRead
 from urllib3.util import parse_url
 
+from ..decode_errors import DECODE_ERRORS
 from ..task_state import TaskState
 from .connection import Attempt
 from .connection import PermitExpiredError
@@ -227,7 +228,7 @@
     """
     try:
         value = msgspec.json.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+    except DECODE_ERRORS:
         if is_framed:
             return CallOutcome(TaskState.FAILED, reason="the result is not valid JSON")
         return CallOutcome(TaskState.UNKNOWN, reason="the result may be truncated")
--- a/src/jackdawkeel/ticket.py
+++ b/src/jackdawkeel/ticket.py
@@ -10,6 +10,7 @@
 from result import Ok
 from result import Result
 
+from .decode_errors import DECODE_ERRORS
 from .errors import DispatchError
 from .errors import ErrorKind
 
@@ -95,7 +96,7 @@
         return Err(DispatchError(ErrorKind.BODY_TOO_LARGE, message))
     try:
         ticket = msgspec.json.decode(body, type=TicketModel)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+    except DECODE_ERRORS as error:
         message = f"the body is not a valid ticket: {error}"
         return Err(DispatchError(ErrorKind.BAD_REQUEST, message))
     violation = _find_violation(ticket)
