A message that can't be decoded or encoded does not affect others on its link

Cause: an envelope with a deeply nested value raised RecursionError in the reader of a connection, which closed the connection; a message with a number above 2^64 raised OverflowError when messages were sent, which lost all messages of that iteration of the event loop, to all peers.

Change: the first is dropped as damaged; a batch that can't be encoded is split until the message is alone, which is dropped as unencodable and logged.

Measured: test_damaged_messages_do_not_affect_other_peers, with one more case, and test_message_that_can_not_be_encoded_does_not_affect_others failed before on both transports and pass now.

--- a/src/jackdawkeel/link/node.py
+++ b/src/jackdawkeel/link/node.py
@@ -17,6 +17,7 @@
 import msgspec
 
 from ..backoff import add_jitter
+from ..decode_errors import DECODE_ERRORS
 from ..events import EventName
 from ..messages import PROTOCOL_VERSION
 from ..messages import Envelope
@@ -254,14 +255,20 @@
 
     def _send_pending(self, link: OutboundLink) -> None:
         while link.batches and link.connection is not None:
-            body = self._encode(link, link.batches[0])
-            if len(body) > ENVELOPE_SPLIT_BYTES and len(link.batches[0].messages) > 1:
+            batch = link.batches[0]
+            body = self._encode(link, batch)
+            is_too_large = body is None or len(body) > ENVELOPE_SPLIT_BYTES
+            if is_too_large and len(batch.messages) > 1:
                 _split_first_batch(link.batches)
                 continue
-            if not link.connection.send(body):
+            if body is not None and not link.connection.send(body):
                 self._plan_retry(link)
                 return
             link.batches.popleft()
+            if body is None:
+                name = type(batch.messages[0]).__name__
+                self._record_dropped("unencodable", link.destination, name)
+                continue
             link.request_redial = False
             link.last_used_at = self.clock()
             self.envelopes_sent += 1
@@ -277,7 +284,8 @@
 
         self.loop.call_later(SEND_RETRY_DELAY_S, retry)
 
-    def _encode(self, link: OutboundLink, batch: Batch) -> bytes:
+    def _encode(self, link: OutboundLink, batch: Batch) -> bytes | None:
+        """Returns the encoded envelope, or None if a number in it is too large."""
         envelope = Envelope(
             version=PROTOCOL_VERSION,
             sender=self.address,
@@ -286,13 +294,16 @@
             redial=link.request_redial,
             messages=batch.messages,
         )
-        return self.encoder.encode(envelope)
+        try:
+            return self.encoder.encode(envelope)
+        except OverflowError:
+            return None
 
     def receive(self, body: bytes) -> None:
         """Handles one encoded envelope; a malformed one is dropped."""
         try:
             envelope = self.decoder.decode(body)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        except DECODE_ERRORS as error:
             self._record_dropped("damaged", "", str(error))
             return
         if envelope.version != PROTOCOL_VERSION:
--- a/tests/link/test_node.py
+++ b/tests/link/test_node.py
@@ -31,6 +31,7 @@
 from jackdawkeel.messages import Message
 from jackdawkeel.messages import PeerAddress
 from jackdawkeel.messages import WrongRecipient
+from jackdawkeel.messages.scheduling import StopTasks
 from tests.fakes import make_log
 
 
@@ -115,6 +116,7 @@
         cases = {
             "no msgpack": b"\xc1\xff",
             "empty": b"",
+            "deeply nested": b"\x97" + encode(unknown_sender)[1:] + b"\x91" * 100_000,
             "another type": msgspec.msgpack.encode({"a": 1}),
             "another version": encode(unknown_sender, version=99),
             "truncated": encode(unknown_sender)[:-3],
@@ -125,6 +127,13 @@
         await self.wait_for_drops(len(cases))
         self.assertEqual(self.two.messages, [JobQuery("good")])
 
+    async def test_message_that_can_not_be_encoded_does_not_affect_others(self) -> None:
+        self.one.node.send(self.recipient, StopTasks([2**64]))
+        self.one.node.send(self.recipient, JobQuery("good"))
+        await self.two.wait_for(1)
+        self.assertEqual(self.two.messages, [JobQuery("good")])
+        self.assertEqual(self.one.node.dropped, {"unencodable": 1})
+
     async def send_bodies(self, bodies: list[bytes]) -> None:
         """Sends encoded envelopes to the second node from an unknown peer."""
         unknown_sender_socket = self.enterContext(pynng.Push0())
