An odd entry in the store's list of entries is logged and left out

Cause: a key that is no UTF-8 raised an error in each reading of the list, so that an entry no longer renewed its registration and agents found no entries. A value with a port out of range, or a host that is no IP address, was passed on as an entry: agents chose it to report to, and entries would have sent it announcements.

Change: such entries are left out where the list is read, and logged as message_dropped with the key; a link address must have an IP address.

Measured: test_odd_entries_do_not_hide_the_other_entries failed before and passes now.

--- a/src/jackdawkeel/agent/daemon.py
+++ b/src/jackdawkeel/agent/daemon.py
@@ -301,7 +301,9 @@
             await asyncio.sleep(add_jitter(interval_s, HEARTBEAT_JITTER_RATIO))
 
     async def _read_entries(self) -> None:
-        listed = await self.loop.run_in_executor(None, list_entries, self.store)
+        listed = await self.loop.run_in_executor(
+            None, list_entries, self.store, self.log
+        )
         if listed.is_ok():
             self.entries.add(listed.unwrap())
 
--- a/src/jackdawkeel/entry/store_sync.py
+++ b/src/jackdawkeel/entry/store_sync.py
@@ -186,7 +186,7 @@
         for round_number in itertools.count():
             await self._renew_lease()
             listed = await self.loop.run_in_executor(
-                self.threads, list_entries, self.store
+                self.threads, list_entries, self.store, self.log
             )
             if listed.is_ok():
                 self.entries = listed.unwrap()
--- a/src/jackdawkeel/link/address.py
+++ b/src/jackdawkeel/link/address.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+from functools import lru_cache
+from ipaddress import ip_address
+
 
 MAX_PORT = 65_535
+# Addresses whose check is remembered; one is made for each message that is sent.
+MAX_CHECKED_ADDRESSES = 4096
 
 
 def split_link_address(address: str) -> tuple[str, int]:
@@ -14,11 +19,13 @@
     """
     host, _, port = address.removeprefix("tcp://").rpartition(":")
     number = int(port)
-    if not host or not 0 < number <= MAX_PORT:
-        raise ValueError(f"invalid link address {address!r}")
+    if not 0 < number <= MAX_PORT:
+        raise ValueError(f"invalid port in link address {address!r}")
+    ip_address(host)
     return host, number
 
 
+@lru_cache(MAX_CHECKED_ADDRESSES)
 def is_link_address(address: str) -> bool:
     """Returns whether a connection to the address can be attempted."""
     try:
--- a/src/jackdawkeel/scheduling/entry_discovery.py
+++ b/src/jackdawkeel/scheduling/entry_discovery.py
@@ -40,6 +40,7 @@
     ) -> None:
         self.store = store
         self.settings = settings
+        self.log = log
         self.on_found = on_found
         self.worker = WorkerThread("discovery", self._find_forever, log)
 
@@ -47,7 +48,7 @@
         self.on_found(self._seed_addresses())
         rounds = 0
         while True:
-            listed = await self.worker.call(list_entries, self.store)
+            listed = await self.worker.call(list_entries, self.store, self.log)
             if listed.is_ok():
                 self.on_found(listed.unwrap())
             rounds += 1
--- a/src/jackdawkeel/scheduling/registration.py
+++ b/src/jackdawkeel/scheduling/registration.py
@@ -35,6 +35,7 @@
     def __init__(self, store: Store, address: PeerAddress, log: EventLog) -> None:
         self.store = store
         self.address = address
+        self.log = log
         self.entry_list = EntryList()
         self.lease_id: int | None = None
         self.worker = WorkerThread("registration", self._maintain_forever, log)
@@ -51,7 +52,7 @@
                 if renewed.unwrap_err().kind is not StoreErrorKind.LEASE_NOT_FOUND:
                     return
                 self.lease_id = None
-        listed = list_entries(self.store)
+        listed = list_entries(self.store, self.log)
         if listed.is_err():
             return
         entries = listed.unwrap()
--- a/src/jackdawkeel/store/entries.py
+++ b/src/jackdawkeel/store/entries.py
@@ -4,12 +4,19 @@
 
 from typing import TYPE_CHECKING
 
+from ..events import EventName
+from ..link.address import is_link_address
 from ..messages import PeerAddress
 
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Iterator
+
     from result import Result
 
+    from ..logs import EventLog
+    from .interface import KeyValue
     from .interface import Store
     from .interface import StoreError
     from .interface import SwapResult
@@ -17,17 +24,38 @@
 
 ENTRY_PREFIX = b"/jackdawkeel/entries/"
 ENTRY_LEASE_S = 10
+MAX_LOGGED_BYTES = 100
+
+
+def list_entries(store: Store, log: EventLog) -> Result[list[PeerAddress], StoreError]:
+    """Returns the addresses of all entries with an unexpired lease.
+
+    Keys that no entry can have written are logged and left out.
+    """
+    reading = store.get_prefix(ENTRY_PREFIX)
+    return reading.map(lambda result: list(_decode_entries(result.items, log)))
 
 
-def list_entries(store: Store) -> Result[list[PeerAddress], StoreError]:
-    """Returns the addresses of all entries with an unexpired lease."""
-    return store.get_prefix(ENTRY_PREFIX).map(
-        lambda reading: [
-            PeerAddress(
-                item.key.removeprefix(ENTRY_PREFIX).decode(), _decode_link(item.value)
-            )
-            for item in reading.items
-        ]
+def _decode_entries(items: Iterable[KeyValue], log: EventLog) -> Iterator[PeerAddress]:
+    for item in items:
+        try:
+            incarnation = item.key.removeprefix(ENTRY_PREFIX).decode()
+            link = item.value.decode()
+        except UnicodeDecodeError:
+            _record_dropped(item, log)
+            continue
+        if is_link_address(link):
+            yield PeerAddress(incarnation, link)
+        else:
+            _record_dropped(item, log)
+
+
+def _record_dropped(item: KeyValue, log: EventLog) -> None:
+    log.record(
+        EventName.MESSAGE_DROPPED,
+        reason="invalid_address",
+        peer=ascii(item.key),
+        details=ascii(item.value[:MAX_LOGGED_BYTES]),
     )
 
 
@@ -48,7 +76,3 @@
     if current is None:
         return first
     return store.compare_and_swap(key, current.mod_revision, encoded, lease_id)
-
-
-def _decode_link(value: bytes) -> str:
-    return value.decode(errors="replace")
--- a/tests/platform_adapter/test_odd_entries.py
+++ b/tests/platform_adapter/test_odd_entries.py
@@ -7,8 +7,10 @@
 from unittest.mock import patch
 
 import msgspec
+from result import Ok
 
 from jackdawkeel.errors import ErrorKind
+from jackdawkeel.messages import PeerAddress
 from jackdawkeel.platform.configuration import decode_configuration
 from jackdawkeel.platform.heartbeats import decode_heartbeat
 from jackdawkeel.platform.store import PlatformStore
@@ -18,6 +20,11 @@
 from jackdawkeel.scheduling.target_runtime import Listing
 from jackdawkeel.scheduling.target_runtime import Run
 from jackdawkeel.setting_values import parse_address
+from jackdawkeel.store.entries import ENTRY_PREFIX
+from jackdawkeel.store.entries import list_entries
+from jackdawkeel.store.interface import GetPrefixResult
+from jackdawkeel.store.interface import KeyValue
+from tests.fakes import make_log
 from tests.platform_adapter.test_heartbeats import HEARTBEAT
 from tests.platform_adapter.test_submissions import JOB_ID
 from tests.platform_adapter.test_submissions import STEP
@@ -136,6 +143,30 @@
         with watch, patch.object(watch, "_request", return_value=response):
             self.assertTrue(watch.read().is_err())
 
+    def test_odd_entries_do_not_hide_the_other_entries(self) -> None:
+        entry = PeerAddress("1" * 16, "tcp://10.0.0.1:7000")
+        links = (
+            b"tcp://10.0.0.1:65536",
+            b"tcp://10.0.0.1:0",
+            b"tcp://10.0.0.1:" + b"9" * 5000,
+            b"tcp://host.example:7000",
+            b"tcp://%s:7000" % (b"a" * 300),
+            b"tcp://a\x00b:7000",
+            b"tcp://:7000",
+            b"\xff\xfe",
+            DEEP,
+        )
+        items = [
+            KeyValue(ENTRY_PREFIX + b"%016x" % number, link, 1)
+            for number, link in enumerate(links)
+        ]
+        key = ENTRY_PREFIX + entry.incarnation.encode()
+        good = KeyValue(key, entry.link.encode(), 1)
+        odd_key = KeyValue(ENTRY_PREFIX + b"\xff", entry.link.encode(), 1)
+        store = Mock()
+        store.get_prefix.return_value = Ok(GetPrefixResult([*items, odd_key, good], 5))
+        self.assertEqual(list_entries(store, make_log()).unwrap(), [entry])
+
 
 if __name__ == "__main__":
     unittest.main()
