An entry that has been replaced at its link is not redialled

What was seen, by reading: after the restart of an entry the others measured the silence of its previous process for 30 s, and replaced the connection to its link for that reason, which is that of the next process by then. Messages in flight on it are lost.

Change: the process that last announced from a link is the one that is redialled and announced to; jobs of its predecessor are kept until its leases have ended, as before.

Measured: test_entry_whose_link_another_process_uses_is_left_alone fails without the check and passes with it.

--- a/src/jackdawkeel/scheduling/entry_peers.py
+++ b/src/jackdawkeel/scheduling/entry_peers.py
@@ -56,6 +56,7 @@
 
     Attributes:
         peers: The entries that have sent an announcement, by incarnation.
+        links: Incarnation of the last process that announced from a link address.
     """
 
     def __init__(
@@ -79,6 +80,7 @@
         self.list_entries = list_entries
         self.list_jobs = list_jobs
         self.peers: dict[str, EntryPeer] = {}
+        self.links: dict[str, str] = {}
         self.until_announcement_s = 0.0
 
     def record(self, sender: PeerAddress, message: OpenJobs) -> None:
@@ -88,6 +90,7 @@
             peer = self.peers[sender.incarnation] = EntryPeer(sender)
             # It may have started a moment ago and not know any open job.
             self.send(sender, self._make_announcement())
+        self.links[sender.link] = sender.incarnation
         peer.silent_s = 0.0
         announced = message.jobs[:MAX_ANNOUNCED_JOBS]
         peer.generations = {job.job_id: job.generation for job in announced}
@@ -115,6 +118,12 @@
         peer = self.peers.get(incarnation)
         return peer is not None and peer.may_run_jobs
 
+    def list_recipients(self) -> list[PeerAddress]:
+        """Returns the entries that receive announcements."""
+        known = [peer.address for peer in self.peers.values()]
+        recipients = dict.fromkeys([*self.list_entries(), *known])
+        return [entry for entry in recipients if not self._is_replaced(entry)]
+
     def advance(self, elapsed_s: float, *, is_in_touch: bool) -> None:
         """Sends announcements that are due and measures the silence of the others.
 
@@ -127,16 +136,16 @@
                 peer.silent_s += elapsed_s
                 self._replace_silent_link(peer)
                 if peer.silent_s > PEER_EXPIRY_S:
-                    del self.peers[peer.address.incarnation]
+                    self._remove(peer)
         self.until_announcement_s -= elapsed_s
         if self.until_announcement_s <= 0:
             self.until_announcement_s = ANNOUNCEMENT_INTERVAL_S
             announcement = self._make_announcement()
-            for address in self._list_recipients():
+            for address in self.list_recipients():
                 self.send(address, announcement)
 
     def _replace_silent_link(self, peer: EntryPeer) -> None:
-        if peer.silent_s < PEER_SILENCE_TIMEOUT_S:
+        if peer.silent_s < PEER_SILENCE_TIMEOUT_S or self._is_replaced(peer.address):
             return
         if self.redial(peer.address.link):
             # The next message asks the other side to replace its connection, too.
@@ -145,8 +154,15 @@
     def _make_announcement(self) -> OpenJobs:
         return OpenJobs(self.list_jobs()[:MAX_ANNOUNCED_JOBS])
 
-    def _list_recipients(self) -> list[PeerAddress]:
-        recipients = {entry.incarnation: entry for entry in self.list_entries()}
-        for incarnation, peer in self.peers.items():
-            recipients.setdefault(incarnation, peer.address)
-        return list(recipients.values())
+    def _is_replaced(self, address: PeerAddress) -> bool:
+        """Returns whether the process has ended, because another one uses its link.
+
+        Its runs may not have ended yet.
+        """
+        incarnation = self.links.get(address.link, address.incarnation)
+        return incarnation != address.incarnation
+
+    def _remove(self, peer: EntryPeer) -> None:
+        del self.peers[peer.address.incarnation]
+        if not self._is_replaced(peer.address):
+            self.links.pop(peer.address.link, None)
--- a/tests/scheduling/test_job_ownership.py
+++ b/tests/scheduling/test_job_ownership.py
@@ -231,6 +231,22 @@
         self.assertEqual(sent.recipient, started)
         self.assertEqual(sent.message, OpenJobs([OpenJob(JOB_ID, 1)]))
 
+    def test_entry_whose_link_another_process_uses_is_left_alone(self) -> None:
+        ownership = self.first.scheduler.ownership
+        successor = make_address("c" * 16, 2)
+        self.submit(self.second)
+        self.run_for(ANNOUNCEMENT_INTERVAL_S)
+        self.second.is_paused = self.second.is_cut_off = True
+        self.first.others = [self.third]
+        for _ in range(30):
+            ownership.deliver(successor, OpenJobs([]))
+            self.run_for(ANNOUNCEMENT_INTERVAL_S / 5)
+            self.assertNotIn(self.second.address.link, self.first.outbox.redialled)
+        peers = ownership.peers
+        self.assertFalse(peers.may_run(self.second.address.incarnation))
+        self.assertNotIn(self.second.address, peers.list_recipients())
+        self.assertIn(successor, peers.list_recipients())
+
 
 class TakeoverTest(JobOwnershipTestCase):
     """The owner of a job falls silent."""
