Split the creation, the errors and the targets of jobs from the scheduler

No change of behaviour: make_job, the errors of jobs that end without a result, and ServiceTargets are modules of their own.

--- a/src/jackdawkeel/scheduling/job_scheduler.py
+++ b/src/jackdawkeel/scheduling/job_scheduler.py
@@ -5,14 +5,9 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from ..errors import DispatchError
-from ..errors import ErrorKind
 from ..events import EventName
 from ..messages.scheduling import TaskStatus
-from ..policy.confinement import find_confined_share
 from ..policy.target_speed import find_distance_factor
-from ..policy.waiting import JobTiming
-from ..policy.waiting import choose_retry_delay_s
 from ..policy.waiting import would_end_too_late
 from .agent_connectivity import AgentConnectivity
 from .assignment_sender import AssignmentSender
@@ -20,16 +15,21 @@
 from .job import Job
 from .job import JobResult
 from .job import TaskPhase
-from .job import longest_chain_s
-from .job import make_tasks
 from .job_admission import JobQueue
 from .job_admission import ServicePass
 from .job_admission import admit_job
 from .job_admission import make_start_check
 from .job_admission import predict_release_s
+from .job_creation import make_job
+from .job_errors import describe_deadline
+from .job_errors import describe_disconnect
+from .job_errors import describe_late_refusal
+from .job_errors import describe_refused_takeover
+from .job_errors import describe_shutdown
 from .job_outcomes import JobOutcomes
 from .job_ownership import JobActions
 from .job_ownership import JobOwnership
+from .service_targets import ServiceTargets
 
 
 if TYPE_CHECKING:
@@ -39,12 +39,12 @@
     from collections.abc import Iterable
 
     from ..clock import Clock
+    from ..errors import DispatchError
     from ..logs import EventLog
     from ..messages import Message
     from ..messages import PeerAddress
     from ..messages.scheduling import AgentReport
     from ..messages.scheduling import TaskUpdate
-    from ..policy.packing import TargetCapacity
     from .agent_views import AgentView
     from .agent_views import AgentViews
     from .job import OpenAssignment
@@ -70,6 +70,7 @@
         connectivity: Detects outages of the connection to all agents.
         outcomes: Counts and logs how jobs end.
         crashes: Crashes of targets, and the tasks that may have caused them.
+        targets: Selects the targets that tasks of a queue may use.
         ownership: Agrees with other entries on which of them runs a job.
     """
 
@@ -109,7 +110,6 @@
         self.log = log
         self.views = views
         self.format_task_name = format_task_name
-        self.evacuated_zones = evacuated_zones
         self.schedule_soon = schedule_soon
         self.rng = rng
         self.jobs: dict[str, Job] = {}
@@ -120,6 +120,9 @@
         self.connectivity = AgentConnectivity()
         self.outcomes = JobOutcomes(log)
         self.crashes = CrashRecords(clock, log)
+        self.targets = ServiceTargets(
+            views, self.crashes, self.queue.loads, evacuated_zones, log
+        )
         self.assignments = AssignmentSender(
             clock=clock,
             log=log,
@@ -182,7 +185,14 @@
             else:
                 existing.waiters.append(waiter)
             return existing
-        job = self._make_job(spec, queue, deadline_s)
+        job = make_job(
+            spec,
+            queue,
+            deadline_s,
+            now=self.clock(),
+            run_times=self.run_times,
+            format_task_name=self.format_task_name,
+        )
         if self._end_if_given_up(job):
             waiter.set_result(None)
             return job
@@ -223,60 +233,16 @@
         if refusal is None:
             self._queue_admitted(job)
             return
-        # Its tasks may have run, so the answer can't be that of a refusal.
-        text = f"another entry has not completed the job; here, {refusal.message}"
-        self._end(job, error=DispatchError(ErrorKind.EXECUTION_LOST, text))
+        self._end(job, error=describe_refused_takeover(refusal))
 
     def _stop_runs(self, job: Job) -> None:
         self.queue.jobs = [other for other in self.queue.jobs if other is not job]
         self.assignments.stop(list(job.open_assignments.values()))
 
-    def _make_job(self, spec: JobSpec, queue: Queue, deadline_s: float) -> Job:
-        now = self.clock()
-        declared_s = longest_chain_s(spec)
-        expected_s = self.run_times.scale_estimate(
-            queue.service, queue.name, declared_s
-        )
-        timing = JobTiming(
-            priority=queue.priority,
-            arrived_at=now,
-            expected_s=expected_s,
-            objective_s=queue.stretch_factor * expected_s
-            + queue.objective_ms / MS_PER_S,
-            deadline_at=now + deadline_s,
-        )
-        job = Job(spec, queue, timing, make_tasks(spec, self.format_task_name))
-        job.unblock_steps()
-        return job
-
-    def _find_targets(self, queue: Queue) -> list[TargetCapacity]:
-        """Returns the targets that tasks of a queue may use, with their capacity."""
-        evacuated = self.evacuated_zones()
-        targets = self.views.target_capacities(queue.service, evacuated)
-        loads = self.queue.loads
-        if not loads.confined:
-            return targets
-        offered = {
-            name: load.offered_s
-            for name, load in loads.by_service[queue.service].items()
-        }
-        share = find_confined_share(loads.confined, offered)
-        agents = self.views.confined_agents(queue.service, evacuated, share)
-        if not agents:
-            return targets
-        is_confined = queue.name in loads.confined
-        return [target for target in targets if (target.name in agents) == is_confined]
-
-    def _update_confinement(self) -> None:
-        confined = self.crashes.confined_queues()
-        if confined != self.queue.loads.confined:
-            self.queue.loads.confined = confined
-            self.log.record(EventName.QUEUES_CONFINED, queues=sorted(confined))
-
     def _find_refusal(self, job: Job) -> DispatchError | None:
         refusal = admit_job(
             job,
-            self._find_targets(job.queue),
+            self.targets.find(job.queue),
             self.queue,
             self.assignments.open,
             self.clock(),
@@ -296,8 +262,7 @@
             self._end_without_callers(job)
 
     def _end_without_callers(self, job: Job) -> None:
-        error = DispatchError(ErrorKind.CANCELLED, "the caller disconnected")
-        self._end(job, error=error)
+        self._end(job, error=describe_disconnect())
 
     def cancel(self, job_id: str) -> Job | None:
         """Cancels a job and returns it, or None if it is unknown."""
@@ -315,12 +280,8 @@
 
     def abandon_all(self) -> None:
         """Ends all open jobs with an error, because the process is about to exit."""
-        text = "the entry shut down before the job had ended"
         for job in list(self.jobs.values()):
-            kind = (
-                ErrorKind.EXECUTION_LOST if job.has_begun else ErrorKind.SHUTTING_DOWN
-            )
-            self._end(job, error=DispatchError(kind, text))
+            self._end(job, error=describe_shutdown(job))
 
     # Scheduling.
 
@@ -342,7 +303,7 @@
             service = job.queue.service
             pool = self.queue.loads.find_pool(job.queue)
             if pool not in passes:
-                targets = self._find_targets(job.queue)
+                targets = self.targets.find(job.queue)
                 passes[pool] = ServicePass(
                     targets,
                     make_start_check(targets, now),
@@ -406,7 +367,7 @@
     def _receive_crashes(self, view: AgentView, report: AgentReport) -> None:
         agent = view.address.incarnation
         if self.crashes.receive(report.crashes, view.crashes, agent):
-            self._update_confinement()
+            self.targets.update_confinement()
             for job in list(self.jobs.values()):
                 self._end_if_given_up(job)
 
@@ -562,10 +523,10 @@
             self.handle_lost_agent(view, "expired")
         for job in list(self.jobs.values()):
             if now >= job.timing.deadline_at:
-                self._end_at_deadline(job)
+                self._end(job, error=describe_deadline(job))
         self._refuse_late_jobs(now)
         self.crashes.drop_expired()
-        self._update_confinement()
+        self.targets.update_confinement()
         self.assignments.resend_stops()
         self.ownership.advance(is_connected=self.connectivity.is_connected(now))
         self.schedule()
@@ -577,27 +538,12 @@
             arrived_at = job.timing.arrived_at
             held_s = self.connectivity.earliest_start(arrived_at) - arrived_at
             if would_end_too_late(job.timing, now - held_s, 0.0):
-                error = self._describe_late_refusal(job, now)
+                release_s = predict_release_s(
+                    job,
+                    self.targets.find(job.queue),
+                    self.queue,
+                    self.assignments.open,
+                    now,
+                )
+                error = describe_late_refusal(job, release_s, now, self.rng)
                 self._end(job, error=error)
-
-    def _describe_late_refusal(self, job: Job, now: float) -> DispatchError:
-        targets = self._find_targets(job.queue)
-        release_s = predict_release_s(
-            job, targets, self.queue, self.assignments.open, now
-        )
-        retry_ms = round(MS_PER_S * choose_retry_delay_s(release_s, self.rng))
-        timing = job.timing
-        text = (
-            f"the job waited {now - timing.arrived_at:.3f} s without capacity and can't"
-            f" end within {timing.limit_at - timing.arrived_at:.3f} s"
-        )
-        return DispatchError(ErrorKind.OVERLOADED, text, retry_ms)
-
-    def _end_at_deadline(self, job: Job) -> None:
-        if job.has_begun:
-            kind = ErrorKind.DEADLINE_EXPIRED
-            text = "the deadline passed before all tasks had ended"
-        else:
-            kind = ErrorKind.DEADLINE_BEFORE_START
-            text = "the deadline passed before any task was started"
-        self._end(job, error=DispatchError(kind, text))
