--- a/tests/scheduling/test_task_executor.py
+++ b/tests/scheduling/test_task_executor.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import unittest
+from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Any
 from unittest.mock import Mock
@@ -137,6 +138,17 @@
         self.assertEqual(self.started_tasks(), ["task-1", "task-2", "task-3"])
         self.assertIn((1, TaskStatus.DONE), self.statuses())
 
+    def test_nothing_starts_beyond_a_capacity_that_has_shrunk(self) -> None:
+        self.assign(make_assignment(1), make_assignment(2), make_assignment(3))
+        self.confirm(*self.started)
+        report = replace(make_report(), capacity=CORE, sequence=2)
+        self.target.apply_report(report)
+        first, second = (run.run for run in self.started)
+        self.deliver_listing(second, ended=(EndedTask(1, first, EndKind.DONE),))
+        self.assertEqual(self.started_tasks(), ["task-1", "task-2"])
+        self.deliver_listing(ended=(EndedTask(2, second, EndKind.DONE),))
+        self.assertEqual(self.started_tasks(), ["task-1", "task-2", "task-3"])
+
     def test_waiting_assignments_start_by_priority(self) -> None:
         self.assign(make_assignment(1), make_assignment(2))
         self.confirm(*self.started)
