A lost assignment is not resent before late disconnects have arrived

What was seen, in a model of entries under random faults: after an outage an entry resends assignments that were lost in it with its first reports, while it holds back new ones until the disconnects of its callers, and now the announcements of other entries, have had time to arrive. The task may run elsewhere by then.

Cause: the hold after an outage applied to tasks that wait, not to assignments that are sent again.

Change: both wait.

Measured: test_an_assignment_that_an_outage_lost_is_not_resent_before_disconnects_arrive failed before and passes.

--- a/src/jackdawkeel/scheduling/assignment_sender.py
+++ b/src/jackdawkeel/scheduling/assignment_sender.py
@@ -312,15 +312,23 @@
         )
         self.send(view.address, StartTasks(view.report.sent_at, [message]))
 
-    def resend_missing(self, view: AgentView, report: AgentReport) -> None:
-        """Sends assignments again that a full report of their agent does not list."""
+    def resend_missing(
+        self, view: AgentView, report: AgentReport, may_start: Callable[[Job], bool]
+    ) -> None:
+        """Sends assignments again that a full report of their agent does not list.
+
+        Args:
+            view: The agent.
+            report: Its report.
+            may_start: Returns whether tasks of a job may start now.
+        """
         listed = set(report.open_assignments)
         oldest = self.clock() - ASSIGNMENT_RESEND_AGE_S
         for assignment in self.open.list_of_agent(view.address.incarnation):
             is_missing = assignment.number not in listed
             if assignment.is_cancelled or not is_missing:
                 continue
-            if assignment.sent_at < oldest:
+            if assignment.sent_at < oldest and may_start(assignment.job):
                 # An agent ignores assignments that it has seen.
                 assignment.sent_at = self.clock()
                 self._send_start(view, [assignment])
--- a/src/jackdawkeel/scheduling/job_scheduler.py
+++ b/src/jackdawkeel/scheduling/job_scheduler.py
@@ -355,7 +355,10 @@
                 view.updates_through = update.sequence
                 self._apply_update(update, sender.incarnation)
         if report.is_full:
-            self.assignments.resend_missing(view, report)
+            now = self.clock()
+            self.assignments.resend_missing(
+                view, report, lambda job: self._may_start(job, now)
+            )
         if report.is_last and not self.assignments.open.list_of_agent(
             sender.incarnation
         ):
--- a/tests/scheduling/test_job_scheduler.py
+++ b/tests/scheduling/test_job_scheduler.py
@@ -427,6 +427,22 @@
         self.deliver(self.agent)
         self.assertEqual(self.pop_assignments(), [])
 
+    def test_an_assignment_that_an_outage_lost_is_not_resent_before_disconnects_arrive(
+        self,
+    ) -> None:
+        self.accept(make_job(1))
+        self.pop_assignments()
+        self.clock.advance(0.8)
+        self.deliver(self.agent, open_assignments=[])
+        self.assertEqual(self.pop_assignments(), [])
+        for _ in range(2):
+            self.clock.advance(0.35)
+            self.deliver(self.agent, open_assignments=[])
+        self.assertEqual(self.pop_assignments(), [])
+        self.clock.advance(0.35)
+        self.deliver(self.agent, open_assignments=[])
+        self.assertEqual(len(self.pop_assignments()), 1)
+
     def test_a_job_starts_soon_after_an_outage(self) -> None:
         self.clock.advance(2.0)
         self.deliver(self.agent)
