Ownership of jobs holds under repeated cuts and pauses of entries

Change: joined and ending jobs are announced too, and a new job waits for all entries that have announced it; after an outage of its own, an entry asks the others about each new job until they have announced again; the interval, now 0.25 s and stated in the message, counts towards the time of silence; of two that wait for each other one goes first; replies carry the time of their inquiry.

--- a/src/jackdawkeel/messages/ownership.py
+++ b/src/jackdawkeel/messages/ownership.py
@@ -12,6 +12,8 @@
 
     OPEN = "open"
     """The entry owns it; the inquiring entry counts as a waiting caller."""
+    JOINED = "joined"
+    """The entry waits for another one that owns it, and is the next to own it."""
     ENDING = "ending"
     """It has ended without a result, and some of its runs may not have ended."""
     RELEASED = "released"
@@ -22,27 +24,42 @@
 
 
 class OpenJob(msgspec.Struct, frozen=True, array_like=True):
-    """A job that the sender owns.
+    """A job whose callers wait at the sender, or whose runs may not have ended.
 
     Attributes:
         job_id: Id of the job.
         generation: Number of entries that have owned it one after the other.
+        is_owned: Whether the sender owns it: it has not ended, and does not wait for
+            another entry.
     """
 
     job_id: str
     generation: int
+    is_owned: bool
 
 
 class OpenJobs(msgspec.Struct, frozen=True, array_like=True, tag=44):
-    """Sent by an entry to all others at intervals: the jobs that it owns."""
+    """Sent by an entry to all others at intervals.
+
+    Attributes:
+        jobs: The sender's jobs, the oldest first.
+        interval_s: Time until the next announcement, in seconds.
+    """
 
     jobs: list[OpenJob]
+    interval_s: float
 
 
 class OwnerInquiry(msgspec.Struct, frozen=True, array_like=True, tag=45):
-    """Sent by an entry whose callers wait for jobs that the recipient has announced."""
+    """Sent by an entry whose callers wait for jobs that the recipient may run.
+
+    Attributes:
+        job_ids: Ids of the jobs.
+        sent_at: The sender's clock, in seconds.
+    """
 
     job_ids: list[str]
+    sent_at: float
 
 
 class JobState(msgspec.Struct, frozen=True, array_like=True):
@@ -53,9 +70,15 @@
 
 
 class OwnerReply(msgspec.Struct, frozen=True, array_like=True, tag=46):
-    """Reply to an ``OwnerInquiry``; also sent when such a job ends."""
+    """Reply to an ``OwnerInquiry``; also sent when such a job ends.
+
+    Attributes:
+        states: States of the jobs.
+        echo: ``sent_at`` of the inquiry; 0 if there is none.
+    """
 
     states: list[JobState]
+    echo: float
 
 
 class JobWithdrawal(msgspec.Struct, frozen=True, array_like=True, tag=47):
--- a/src/jackdawkeel/scheduling/entry_peers.py
+++ b/src/jackdawkeel/scheduling/entry_peers.py
@@ -7,6 +7,9 @@
 from typing import TYPE_CHECKING
 
 from ..messages.ownership import OpenJobs
+from ..policy.announcement import MIN_INTERVAL_S
+from ..policy.announcement import choose_announcement_interval_s
+from .leases import LINK_SILENCE_TIMEOUT_S
 from .leases import latest_run_end
 
 
@@ -19,11 +22,8 @@
     from ..messages.ownership import OpenJob
 
 
-ANNOUNCEMENT_INTERVAL_S = 0.5
-# Silence after which the connection to an entry is replaced.
-PEER_SILENCE_TIMEOUT_S = 0.75
-# Silence after which an entry can't run anything: its leases have ended.
-OWNER_SILENCE_S = latest_run_end(0.0)
+# Bounds the interval that another entry may state.
+MAX_INTERVAL_S = 10.0
 # Silence after which an entry receives no more announcements unless it is listed.
 PEER_EXPIRY_S = 30.0
 # Jobs that are announced, the oldest first; more are not protected.
@@ -36,25 +36,39 @@
 
     Attributes:
         address: Address of its process.
-        generations: Generations of the jobs that it owns, by id.
+        jobs: Its open jobs, by id.
         silent_s: Time since its last message, without the times in which this entry
             was paused or cut off.
+        interval_s: Time between two of its announcements.
+        is_known: Whether its jobs are known; not after this entry was paused or cut
+            off until the next announcement.
     """
 
     address: PeerAddress
-    generations: dict[str, int] = field(default_factory=dict)
+    jobs: dict[str, OpenJob] = field(default_factory=dict)
     silent_s: float = 0.0
+    interval_s: float = 0.0
+    is_known: bool = True
 
     @property
     def may_run_jobs(self) -> bool:
-        """Whether runs of its jobs may not have ended."""
-        return self.silent_s <= OWNER_SILENCE_S
+        """Whether runs of its jobs may not have ended.
+
+        It may have reached its agents until its next announcement was due.
+        """
+        return self.silent_s <= latest_run_end(self.interval_s)
+
+    @property
+    def is_link_silent(self) -> bool:
+        """Whether an announcement of it is overdue."""
+        return self.silent_s > self.interval_s + LINK_SILENCE_TIMEOUT_S
 
 
 class EntryPeers:
     """The other entries that an entry exchanges announcements with.
 
     Attributes:
+        interval_s: Time between two announcements of this entry, in seconds.
         peers: The entries that have sent an announcement, by incarnation.
         links: Incarnation of the last process that announced from a link address.
     """
@@ -73,7 +87,7 @@
             send: Sends a message to a process.
             redial: Replaces the connection to a link address; returns whether it did.
             list_entries: Returns the other entries that are registered in the store.
-            list_jobs: Returns the jobs that this entry owns, the oldest first.
+            list_jobs: Returns the open jobs of this entry, the oldest first.
         """
         self.send = send
         self.redial = redial
@@ -81,8 +95,15 @@
         self.list_jobs = list_jobs
         self.peers: dict[str, EntryPeer] = {}
         self.links: dict[str, str] = {}
+        self.interval_s = MIN_INTERVAL_S
         self.until_announcement_s = 0.0
 
+    def record_contact(self, sender: PeerAddress) -> None:
+        """Records that a message of an entry has arrived."""
+        peer = self.peers.get(sender.incarnation)
+        if peer is not None:
+            peer.silent_s = 0.0
+
     def record(self, sender: PeerAddress, message: OpenJobs) -> None:
         """Records the announcement of an entry."""
         peer = self.peers.get(sender.incarnation)
@@ -91,27 +112,36 @@
             # It may have started a moment ago and not know any open job.
             self.send(sender, self._make_announcement())
         self.links[sender.link] = sender.incarnation
-        peer.silent_s = 0.0
+        peer.interval_s = min(max(0.0, message.interval_s), MAX_INTERVAL_S)
         announced = message.jobs[:MAX_ANNOUNCED_JOBS]
-        peer.generations = {job.job_id: job.generation for job in announced}
+        peer.jobs = {job.job_id: job for job in announced}
+        peer.is_known = True
 
     def has_all_announcements(self) -> bool:
         """Returns whether every registered entry has announced its jobs."""
         return all(entry.incarnation in self.peers for entry in self.list_entries())
 
+    def find_holders(self, job_id: str) -> list[EntryPeer]:
+        """Returns the entries that may run a job, or wait for one that runs it."""
+        return [
+            peer
+            for peer in self.peers.values()
+            if peer.may_run_jobs and (job_id in peer.jobs or not peer.is_known)
+        ]
+
     def find_owners(self, job_id: str) -> list[EntryPeer]:
-        """Returns the entries that may run a job."""
+        """Returns the entries that have announced that they own a job."""
         return [
             peer
             for peer in self.peers.values()
-            if job_id in peer.generations and peer.may_run_jobs
+            if peer.may_run_jobs and job_id in peer.jobs and peer.jobs[job_id].is_owned
         ]
 
     def forget_job(self, incarnation: str, job_id: str) -> None:
         """Removes a job that an entry has released since its last announcement."""
         peer = self.peers.get(incarnation)
         if peer is not None:
-            peer.generations.pop(job_id, None)
+            peer.jobs.pop(job_id, None)
 
     def may_run(self, incarnation: str) -> bool:
         """Returns whether runs of an entry's jobs may not have ended."""
@@ -137,22 +167,29 @@
                 self._replace_silent_link(peer)
                 if peer.silent_s > PEER_EXPIRY_S:
                     self._remove(peer)
+        else:
+            for peer in self.peers.values():
+                # It may have accepted jobs meanwhile.
+                peer.is_known = False
+                peer.silent_s = 0.0
         self.until_announcement_s -= elapsed_s
         if self.until_announcement_s <= 0:
-            self.until_announcement_s = ANNOUNCEMENT_INTERVAL_S
+            recipients = self.list_recipients()
+            self.interval_s = choose_announcement_interval_s(len(recipients))
+            self.until_announcement_s = self.interval_s
             announcement = self._make_announcement()
-            for address in self.list_recipients():
+            for address in recipients:
                 self.send(address, announcement)
 
     def _replace_silent_link(self, peer: EntryPeer) -> None:
-        if peer.silent_s < PEER_SILENCE_TIMEOUT_S or self._is_replaced(peer.address):
+        if not peer.is_link_silent or self._is_replaced(peer.address):
             return
         if self.redial(peer.address.link):
             # The next message asks the other side to replace its connection, too.
             self.send(peer.address, self._make_announcement())
 
     def _make_announcement(self) -> OpenJobs:
-        return OpenJobs(self.list_jobs()[:MAX_ANNOUNCED_JOBS])
+        return OpenJobs(self.list_jobs()[:MAX_ANNOUNCED_JOBS], self.interval_s)
 
     def _is_replaced(self, address: PeerAddress) -> bool:
         """Returns whether the process has ended, because another one uses its link.
--- a/src/jackdawkeel/scheduling/job_ownership.py
+++ b/src/jackdawkeel/scheduling/job_ownership.py
@@ -39,6 +39,8 @@
 INQUIRY_INTERVAL_S = 0.1
 # Time after its last inquiry for which an entry counts as a waiting caller.
 FOLLOWER_EXPIRY_S = 0.7
+# The sender of an older reply may own the job by now.
+MAX_REPLY_AGE_S = 0.5
 # A longer time between two calls of ``advance`` is a pause of this process, in which
 # messages have waited.
 MAX_TICK_S = 0.3
@@ -114,39 +116,42 @@
             send=send,
             redial=redial,
             list_entries=list_entries,
-            list_jobs=self._list_owned,
+            list_jobs=self._list_open,
         )
         self.joined: dict[str, Job] = {}
         self.followed: dict[str, Job] = {}
         self.advanced_at = clock()
         self.next_inquiry_at = 0.0
 
-    def _list_owned(self) -> list[OpenJob]:
-        return [
-            OpenJob(job_id, job.generation)
+    def _list_open(self) -> list[OpenJob]:
+        """Returns the jobs that are open, or whose runs may not have ended."""
+        listed = [
+            OpenJob(job_id, job.generation, is_owned=not job.owners)
             for job_id, job in self.jobs.items()
-            if not job.owners
         ]
+        ending = self.assignments.by_job_id.keys() - self.jobs.keys()
+        return listed + [OpenJob(job_id, 0, is_owned=False) for job_id in ending]
 
     # Jobs of other entries.
 
-    def find_owners(self, job_id: str) -> list[EntryPeer]:
-        """Returns the other entries that may run a job."""
-        return self.peers.find_owners(job_id)
+    def find_holders(self, job_id: str) -> list[EntryPeer]:
+        """Returns the other entries that a new job has to wait for."""
+        return self.peers.find_holders(job_id)
 
-    def join(self, job: Job, owners: Iterable[EntryPeer]) -> None:
-        """Makes a job wait for its result at the entries that own it."""
+    def join(self, job: Job, holders: Iterable[EntryPeer]) -> None:
+        """Makes a job wait for its result at the entries that may run it."""
         job_id = job.spec.job_id
-        for owner in owners:
-            job.owners[owner.address.incarnation] = owner.address
-            generation = owner.generations.get(job_id, 0)
-            job.generation = max(job.generation, generation)
-        # Its tasks may have run under its owners.
-        job.has_run = True
+        for holder in holders:
+            job.owners[holder.address.incarnation] = holder.address
+            announced = holder.jobs.get(job_id)
+            if announced is not None:
+                job.generation = max(job.generation, announced.generation)
+                # Its tasks may have run there.
+                job.has_run = True
         self.joined[job_id] = job
         self.log.record(EventName.JOB_JOINED, job=job_id, owners=list(job.owners))
         for address in job.owners.values():
-            self.send(address, OwnerInquiry([job_id]))
+            self.send(address, OwnerInquiry([job_id], self.clock()))
 
     def _release(self, job: Job, incarnation: str, reason: str) -> None:
         job_id = job.spec.job_id
@@ -157,7 +162,7 @@
         )
         if job.owners:
             return
-        successors = self.find_owners(job_id)
+        successors = self.peers.find_owners(job_id)
         if successors:
             self.join(job, successors)
             return
@@ -166,9 +171,18 @@
         job.generation += 1
         self.actions.resume(job)
 
-    def _apply_state(self, sender: PeerAddress, job: Job, state: str) -> None:
+    def _handle_reply(self, sender: PeerAddress, reply: OwnerReply) -> None:
+        is_recent = self.clock() - reply.echo < MAX_REPLY_AGE_S
+        for row in reply.states:
+            job = self.joined.get(row.job_id)
+            if job is not None and sender.incarnation in job.owners:
+                self._apply_state(sender, job, row.state, is_recent=is_recent)
+
+    def _apply_state(
+        self, sender: PeerAddress, job: Job, state: str, *, is_recent: bool
+    ) -> None:
         match state:
-            case OwnedState.RELEASED:
+            case OwnedState.RELEASED if is_recent:
                 self._release(job, sender.incarnation, "released")
             case OwnedState.COMPLETED | OwnedState.FAILED | OwnedState.CANCELLED:
                 del job.owners[sender.incarnation]
@@ -182,12 +196,14 @@
                 addresses[incarnation] = address
                 inquiries.setdefault(incarnation, []).append(job_id)
         for incarnation, job_ids in inquiries.items():
-            self.send(addresses[incarnation], OwnerInquiry(job_ids))
+            inquiry = OwnerInquiry(job_ids, self.clock())
+            self.send(addresses[incarnation], inquiry)
 
     # Messages of other entries.
 
     def deliver(self, sender: PeerAddress, message: OwnershipMessage) -> None:
         """Handles a message of another entry."""
+        self.peers.record_contact(sender)
         match message:
             case OpenJobs():
                 self._handle_announcement(sender, message)
@@ -196,34 +212,31 @@
                     JobState(job_id, self._describe_to(sender, job_id))
                     for job_id in message.job_ids
                 ]
-                self.send(sender, OwnerReply(states))
+                self.send(sender, OwnerReply(states, message.sent_at))
             case OwnerReply():
-                for row in message.states:
-                    job = self.joined.get(row.job_id)
-                    if job is not None and sender.incarnation in job.owners:
-                        self._apply_state(sender, job, row.state)
+                self._handle_reply(sender, message)
             case JobWithdrawal():
                 self._handle_withdrawal(sender, message)
 
     def _handle_announcement(self, sender: PeerAddress, message: OpenJobs) -> None:
         self.peers.record(sender, message)
         peer = self.peers.peers[sender.incarnation]
-        for job_id, generation in peer.generations.items():
+        for job_id, announced in peer.jobs.items():
             job = self.jobs.get(job_id)
-            if job is None or job.owners:
+            if job is None or job.owners or not announced.is_owned:
                 continue
             own = (job.generation, self.incarnation)
-            if must_yield(own, (generation, sender.incarnation)):
+            if must_yield(own, (announced.generation, sender.incarnation)):
                 self.actions.stop(job)
                 self.join(job, [peer])
 
     def _describe_to(self, sender: PeerAddress, job_id: str) -> OwnedState:
         job = self.jobs.get(job_id)
-        if job is not None and not job.owners:
+        if job is not None and self._goes_before(sender, job):
             job.followers[sender.incarnation] = sender
             job.followed_until = self.clock() + FOLLOWER_EXPIRY_S
             self.followed[job_id] = job
-            return OwnedState.OPEN
+            return OwnedState.JOINED if job.owners else OwnedState.OPEN
         if self.assignments.has_job(job_id):
             return OwnedState.ENDING
         ended = self.ended_jobs.get(job_id)
@@ -231,6 +244,11 @@
             return OwnedState(ended.result)
         return OwnedState.RELEASED
 
+    def _goes_before(self, sender: PeerAddress, job: Job) -> bool:
+        """Returns whether another entry waits for this one, and not vice versa."""
+        is_mutual = sender.incarnation in job.owners
+        return not is_mutual or self.incarnation > sender.incarnation
+
     def _handle_withdrawal(self, sender: PeerAddress, message: JobWithdrawal) -> None:
         if message.is_cancelled:
             self.actions.cancel(message.job_id)
@@ -255,7 +273,7 @@
             return
         for address in job.followers.values():
             state = OwnedState(job.result)
-            self.send(address, OwnerReply([JobState(job_id, state)]))
+            self.send(address, OwnerReply([JobState(job_id, state)], 0.0))
 
     def _end_if_abandoned(self, job: Job) -> None:
         if not job.followers:
--- a/src/jackdawkeel/scheduling/job_scheduler.py
+++ b/src/jackdawkeel/scheduling/job_scheduler.py
@@ -196,11 +196,11 @@
         if self._end_if_given_up(job):
             waiter.set_result(None)
             return job
-        owners = self.ownership.find_owners(spec.job_id)
-        if owners:
+        holders = self.ownership.find_holders(spec.job_id)
+        if holders:
             job.waiters.append(waiter)
             self.jobs[spec.job_id] = job
-            self.ownership.join(job, owners)
+            self.ownership.join(job, holders)
             return job
         refusal = self._find_refusal(job)
         if refusal is not None:
