A job that another entry has released still waits for late disconnects by the time of its request

Change: the time at which a request was read is kept apart, for the hold, for metrics and for the log.

--- a/src/jackdawkeel/scheduling/entry_node.py
+++ b/src/jackdawkeel/scheduling/entry_node.py
@@ -262,7 +262,7 @@
             self.log.record(
                 EventName.CALLER_DISCONNECTED,
                 job=job.spec.job_id,
-                waited_ms=round(MS_PER_S * (self.clock() - job.timing.arrived_at), 1),
+                waited_ms=round(MS_PER_S * (self.clock() - job.received_at), 1),
             )
             self.scheduler.handle_disconnect(job, waiter)
             if not waiter.done():
@@ -275,7 +275,7 @@
             text = "the caller disconnected"
             error = DispatchError(ErrorKind.CANCELLED, text)
             return self.callers.build_error_response(error)
-        took_s = self.clock() - job.timing.arrived_at
+        took_s = self.clock() - job.received_at
         self.metrics.observe(HistogramName.JOB, took_s, job.queue.name)
         return self.callers.build_job_response(job)
 
--- a/src/jackdawkeel/scheduling/job.py
+++ b/src/jackdawkeel/scheduling/job.py
@@ -98,7 +98,9 @@
     Attributes:
         spec: The job as its caller submitted it.
         queue: Its queue at the time of submission.
-        timing: Priority and times that decide its rank among waiting jobs.
+        timing: Priority and times that decide its rank among waiting jobs; a job that
+            another entry has released counts as arrived then.
+        received_at: When its request was read, in clock seconds.
         tasks: All tasks, by step.
         waiters: One future for each request that waits for the answer.
         open_assignments: Its assignments whose tasks may be running, by number.
@@ -122,6 +124,7 @@
     spec: JobSpec
     queue: Queue
     timing: JobTiming
+    received_at: float
     tasks: list[list[Task]]
     waiters: list[asyncio.Future[None]] = field(default_factory=list)
     open_assignments: dict[int, OpenAssignment] = field(default_factory=dict)
--- a/src/jackdawkeel/scheduling/job_creation.py
+++ b/src/jackdawkeel/scheduling/job_creation.py
@@ -48,6 +48,6 @@
         objective_s=queue.stretch_factor * expected_s + queue.objective_ms / MS_PER_S,
         deadline_at=now + deadline_s,
     )
-    job = Job(spec, queue, timing, make_tasks(spec, format_task_name))
+    job = Job(spec, queue, timing, now, make_tasks(spec, format_task_name))
     job.unblock_steps()
     return job
--- a/src/jackdawkeel/scheduling/job_scheduler.py
+++ b/src/jackdawkeel/scheduling/job_scheduler.py
@@ -320,7 +320,7 @@
     def _may_start(self, job: Job, now: float) -> bool:
         if self.assignments.open.has_earlier_submission(job):
             return False
-        return now >= self.connectivity.earliest_start(job.timing.arrived_at)
+        return now >= self.connectivity.earliest_start(job.received_at)
 
     # Reports of agents.
 
@@ -506,7 +506,7 @@
             if not waiter.done():
                 waiter.set_result(None)
         self.ownership.handle_end(job)
-        self.outcomes.record_ended(job, self.clock() - job.timing.arrived_at)
+        self.outcomes.record_ended(job, self.clock() - job.received_at)
 
     def _drop_old_jobs(self) -> None:
         while len(self.ended_jobs) > MAX_ENDED_JOBS:
@@ -538,8 +538,8 @@
         for job in list(self.queue.jobs):
             if job.has_begun or job.has_ended:
                 continue
-            arrived_at = job.timing.arrived_at
-            held_s = self.connectivity.earliest_start(arrived_at) - arrived_at
+            start_at = self.connectivity.earliest_start(job.received_at)
+            held_s = max(0.0, start_at - job.timing.arrived_at)
             if would_end_too_late(job.timing, now - held_s, 0.0):
                 release_s = predict_release_s(
                     job,
--- a/tests/scheduling/test_job_ownership.py
+++ b/tests/scheduling/test_job_ownership.py
@@ -361,6 +361,7 @@
         self.second.report()
         self.second.scheduler.tick()
         self.second.outbox.sent.clear()
+        self.clock.advance(TICK_S)
         self.submit(self.second)
         self.run_for(2 * TICK_S)
         self.assertEqual(self.second.starts, 2)
