After a short outage of its own, an entry does not wait for entries that had ended before

Change: in an outage that is shorter than the leases only entries that were alive before count as unknown. A caller that came to another entry in a short outage comes back after the next announcement.

--- a/src/jackdawkeel/scheduling/entry_peers.py
+++ b/src/jackdawkeel/scheduling/entry_peers.py
@@ -22,6 +22,9 @@
     from ..messages.ownership import OpenJob
 
 
+# Time of a pause, or of a cut after it has been noticed, from which the jobs of other
+# entries count as unknown.
+UNKNOWN_OUTAGE_S = 0.3
 # Bounds the interval that another entry may state.
 MAX_INTERVAL_S = 10.0
 # Silence after which an entry receives no more announcements unless it is listed.
@@ -69,6 +72,7 @@
 
     Attributes:
         interval_s: Time between two announcements of this entry, in seconds.
+        out_of_touch_s: For how long this entry has been paused or cut off, in seconds.
         peers: The entries that have sent an announcement, by incarnation.
         links: Incarnation of the last process that announced from a link address.
     """
@@ -95,6 +99,7 @@
         self.list_jobs = list_jobs
         self.peers: dict[str, EntryPeer] = {}
         self.links: dict[str, str] = {}
+        self.out_of_touch_s = 0.0
         self.interval_s = MIN_INTERVAL_S
         self.until_announcement_s = 0.0
 
@@ -162,16 +167,15 @@
             is_in_touch: Whether this entry could receive messages during that time.
         """
         if is_in_touch:
+            self.out_of_touch_s = 0.0
             for peer in list(self.peers.values()):
                 peer.silent_s += elapsed_s
                 self._replace_silent_link(peer)
                 if peer.silent_s > PEER_EXPIRY_S:
                     self._remove(peer)
         else:
-            for peer in self.peers.values():
-                # It may have accepted jobs meanwhile.
-                peer.is_known = False
-                peer.silent_s = 0.0
+            self.out_of_touch_s += elapsed_s
+            self._discard_knowledge()
         self.until_announcement_s -= elapsed_s
         if self.until_announcement_s <= 0:
             recipients = self.list_recipients()
@@ -181,6 +185,21 @@
             for address in recipients:
                 self.send(address, announcement)
 
+    def _discard_knowledge(self) -> None:
+        """Treats others as unknown that may have accepted jobs in an own outage.
+
+        A caller that came to them in a short outage comes back after their next
+        announcement. In a long one, even an entry that was silent before may have
+        returned.
+        """
+        if self.out_of_touch_s < UNKNOWN_OUTAGE_S:
+            return
+        is_long = self.out_of_touch_s >= latest_run_end(0.0)
+        for peer in self.peers.values():
+            if peer.may_run_jobs or is_long:
+                peer.is_known = False
+                peer.silent_s = 0.0
+
     def _replace_silent_link(self, peer: EntryPeer) -> None:
         if not peer.is_link_silent or self._is_replaced(peer.address):
             return
