Answers to jobs that waited for another entry say truly whether they may have run

Cause: a job that joined an entry whose jobs were unknown was refused as unknown (504) after that entry had replied that it had none of it, and answered as not run (503) at its deadline while that entry was silent and may have run it.

Change: after a release without any possible run, a refusal keeps its kind and its Retry-After; a job counts as possibly run from when an entry it waits for counts as ended, and until then.

--- a/src/jackdawkeel/scheduling/job_errors.py
+++ b/src/jackdawkeel/scheduling/job_errors.py
@@ -25,13 +25,14 @@
 
 def describe_shutdown(job: Job) -> DispatchError:
     """Returns the error of a job whose entry is about to exit."""
-    kind = ErrorKind.EXECUTION_LOST if job.has_begun else ErrorKind.SHUTTING_DOWN
+    may_have_run = job.has_begun or job.owners
+    kind = ErrorKind.EXECUTION_LOST if may_have_run else ErrorKind.SHUTTING_DOWN
     return DispatchError(kind, "the entry shut down before the job had ended")
 
 
 def describe_deadline(job: Job) -> DispatchError:
     """Returns the error of a job whose deadline has passed."""
-    if job.has_begun:
+    if job.has_begun or job.owners:
         kind = ErrorKind.DEADLINE_EXPIRED
         text = "the deadline passed before all tasks had ended"
     else:
--- a/src/jackdawkeel/scheduling/job_ownership.py
+++ b/src/jackdawkeel/scheduling/job_ownership.py
@@ -294,6 +294,8 @@
         for job in list(self.joined.values()):
             for incarnation in list(job.owners):
                 if not self.peers.may_run(incarnation):
+                    # It may have run the job, also if it has not announced it.
+                    job.has_run = True
                     self._release(job, incarnation, "silent")
         if self.joined and now >= self.next_inquiry_at:
             self.next_inquiry_at = now + INQUIRY_INTERVAL_S
--- a/src/jackdawkeel/scheduling/job_scheduler.py
+++ b/src/jackdawkeel/scheduling/job_scheduler.py
@@ -233,7 +233,8 @@
         if refusal is None:
             self._queue_admitted(job)
             return
-        self._end(job, error=describe_refused_takeover(refusal))
+        error = describe_refused_takeover(refusal) if job.has_run else refusal
+        self._end(job, error=error)
 
     def _stop_runs(self, job: Job) -> None:
         self.queue.jobs = [other for other in self.queue.jobs if other is not job]
--- a/tests/scheduling/test_job_ownership.py
+++ b/tests/scheduling/test_job_ownership.py
@@ -6,6 +6,7 @@
 import random
 import unittest
 
+from jackdawkeel.errors import ErrorKind
 from jackdawkeel.messages.ownership import JobState
 from jackdawkeel.messages.ownership import JobWithdrawal
 from jackdawkeel.messages.ownership import OpenJob
@@ -355,16 +356,41 @@
         self.assertEqual(self.second.starts, 2)
 
     def test_new_job_after_an_outage_starts_when_the_others_have_replied(self) -> None:
+        self.submit_unknown()
+        self.run_for(1.0)
+        self.assertEqual(self.second.starts, 2)
+
+    def submit_unknown(self, count: int = 2) -> Job:
+        """Submits a job to an entry that has just been paused and knows no other's."""
         self.second.is_paused = True
         self.run_for(1.0)
         self.second.is_paused = False
         self.second.report()
         self.second.scheduler.tick()
         self.second.outbox.sent.clear()
-        self.clock.advance(TICK_S)
-        self.submit(self.second)
-        self.run_for(2 * TICK_S)
-        self.assertEqual(self.second.starts, 2)
+        waiter = self.loop.create_future()
+        job = self.second.scheduler.submit(make_job(count), QUEUE, 1.0, waiter)
+        assert isinstance(job, Job), job
+        return job
+
+    def test_released_job_that_no_other_entry_has_run_is_refused_as_not_run(
+        self,
+    ) -> None:
+        job = self.submit_unknown(count=2000)
+        self.second.agent.accepting = False
+        self.second.report()
+        self.exchange()
+        assert job.error is not None
+        self.assertEqual(job.error.kind, ErrorKind.NO_TARGET)
+
+    def test_job_that_a_silent_entry_may_have_run_is_not_answered_as_not_run(
+        self,
+    ) -> None:
+        self.first.is_cut_off = True
+        job = self.submit_unknown()
+        self.run_for(1.1)
+        assert job.error is not None
+        self.assertEqual(job.error.kind, ErrorKind.DEADLINE_EXPIRED)
 
     def test_ended_job_whose_runs_may_not_have_ended_is_announced(self) -> None:
         job, waiter = self.submit(self.first)
