Processes that have been replaced do not count as unknown, nor do others while an entry starts

What it would cost: after an outage of its own, an entry would ask each process that was replaced in the last 30 s about new jobs, and wait up to 1.62 s for it; and an entry that waits for its first target counted that as an outage.

Change: a replaced process has ended, so it cannot have accepted unknown jobs; the wait at the start counts as no outage.

--- a/src/jackdawkeel/messages/ownership.py
+++ b/src/jackdawkeel/messages/ownership.py
@@ -28,7 +28,8 @@
 
     Attributes:
         job_id: Id of the job.
-        generation: Number of entries that have owned it one after the other.
+        generation: Number of entries that have owned it one after the other; 0 if it
+            has ended.
         is_owned: Whether the sender owns it: it has not ended, and does not wait for
             another entry.
     """
--- a/src/jackdawkeel/scheduling/entry_node.py
+++ b/src/jackdawkeel/scheduling/entry_node.py
@@ -386,7 +386,7 @@
                 continue
             now = self.clock()
             listed_at = now if listed_at is None else listed_at
-            ownership.advance(is_connected=False)
+            ownership.advance(is_connected=True)
             # A registered entry may have ended.
             has_jobs = now >= listed_at + ANNOUNCEMENT_WAIT_S
             has_jobs |= ownership.peers.has_all_announcements()
--- a/src/jackdawkeel/scheduling/entry_peers.py
+++ b/src/jackdawkeel/scheduling/entry_peers.py
@@ -131,7 +131,7 @@
         return [
             peer
             for peer in self.peers.values()
-            if peer.may_run_jobs and (job_id in peer.jobs or not peer.is_known)
+            if peer.may_run_jobs and (job_id in peer.jobs or self._is_unknown(peer))
         ]
 
     def find_owners(self, job_id: str) -> list[EntryPeer]:
@@ -196,10 +196,14 @@
             return
         is_long = self.out_of_touch_s >= latest_run_end(0.0)
         for peer in self.peers.values():
-            if peer.may_run_jobs or is_long:
+            is_replaced = self._is_replaced(peer.address)
+            if (peer.may_run_jobs or is_long) and not is_replaced:
                 peer.is_known = False
                 peer.silent_s = 0.0
 
+    def _is_unknown(self, peer: EntryPeer) -> bool:
+        return not peer.is_known and not self._is_replaced(peer.address)
+
     def _replace_silent_link(self, peer: EntryPeer) -> None:
         if not peer.is_link_silent or self._is_replaced(peer.address):
             return
--- a/tests/scheduling/test_job_ownership.py
+++ b/tests/scheduling/test_job_ownership.py
@@ -262,6 +262,13 @@
         self.assertFalse(peers.may_run(self.second.address.incarnation))
         self.assertNotIn(self.second.address, peers.list_recipients())
         self.assertIn(successor, peers.list_recipients())
+        self.first.is_paused = True
+        self.run_for(OWNER_SILENCE_S)
+        self.first.is_paused = False
+        self.run_for(TICK_S)
+        holders = [peer.address for peer in peers.find_holders("f" * 16)]
+        self.assertIn(successor, holders)
+        self.assertNotIn(self.second.address, holders)
 
 
 class TakeoverTest(JobOwnershipTestCase):
