A starting entry does not wait for entries that have ended

Cause: a starting entry waits up to 0.2 s for the announcement of each registered entry. After the loss of all VMs these are the processes from before, its own predecessor among them, whose registrations expire after 10 s.

Change: a predecessor at the own link, and a process whose link another one uses, are not waited for; the wait is 0.1 s at most.

The test failed before and passes.

--- a/src/jackdawkeel/scheduling/entry_node.py
+++ b/src/jackdawkeel/scheduling/entry_node.py
@@ -78,7 +78,7 @@
 FIRST_TARGET_WAIT_S = 1.5
 FIRST_TARGET_POLL_INTERVAL_S = 0.02
 # A starting entry waits this long for the jobs of an entry that doesn't reply.
-ANNOUNCEMENT_WAIT_S = 0.2
+ANNOUNCEMENT_WAIT_S = 0.1
 # Time after which all agents of a starting fleet have reported their capacity: targets
 # send a heartbeat every 1.5 s.
 AGENT_DISCOVERY_S = 2.0
@@ -131,7 +131,7 @@
             rng=random.Random(log.incarnation),
             remote_slowdown=settings.bounds.remote_slowdown,
             incarnation=log.incarnation,
-            list_entries=lambda: self.registration.entry_list.entries,
+            list_entries=self._list_other_entries,
         )
         self.follower = StoreFollower(store, self.operators, log, self.trigger.plan)
         self.registration = Registration(store, self.address, log)
@@ -141,6 +141,11 @@
         self.is_refusing = False
         self.stopped = asyncio.Event()
 
+    def _list_other_entries(self) -> list[PeerAddress]:
+        """Returns the registered entries, without predecessors of this process."""
+        entries = self.registration.entry_list.entries
+        return [entry for entry in entries if entry.link != self.address.link]
+
     # Messages of agents and of other entries.
 
     def deliver(self, sender: PeerAddress, message: Message) -> None:
--- a/src/jackdawkeel/scheduling/entry_peers.py
+++ b/src/jackdawkeel/scheduling/entry_peers.py
@@ -123,8 +123,11 @@
         peer.is_known = True
 
     def has_all_announcements(self) -> bool:
-        """Returns whether every registered entry has announced its jobs."""
-        return all(entry.incarnation in self.peers for entry in self.list_entries())
+        """Returns whether every registered entry has announced its jobs or ended."""
+        return all(
+            entry.incarnation in self.peers or self._is_replaced(entry)
+            for entry in self.list_entries()
+        )
 
     def find_holders(self, job_id: str) -> list[EntryPeer]:
         """Returns the entries that may run a job, or wait for one that runs it."""
--- a/tests/scheduling/test_job_ownership.py
+++ b/tests/scheduling/test_job_ownership.py
@@ -270,6 +270,16 @@
         self.assertIn(successor, holders)
         self.assertNotIn(self.second.address, holders)
 
+    def test_registered_entries_that_have_ended_are_not_waited_for(self) -> None:
+        peers = self.first.scheduler.ownership.peers
+        self.assertTrue(peers.has_all_announcements())
+        ended = Entry("d", 2, self.clock)
+        self.first.others.append(ended)
+        self.assertTrue(peers.has_all_announcements())
+        started = Entry("e", 9, self.clock)
+        self.first.others.append(started)
+        self.assertFalse(peers.has_all_announcements())
+
 
 class TakeoverTest(JobOwnershipTestCase):
     """The owner of a job falls silent."""
