--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -170,22 +170,28 @@
                 (Path(keep) / log.name).write_bytes(log.read_bytes())
         self.folder_owner.cleanup()
 
-    def configure(self, **route) -> None:
-        """Writes a new version of the configuration, as the operator does."""
+    def configure(self, *prefixes: str) -> None:
+        """Writes a new version of the configuration, as the operator does.
+
+        Args:
+            prefixes: The prefixes of its routes; that of the jobs if none is given.
+        """
         self.version += 1
         document = {
             "version": self.version,
             "routes": [
                 {
-                    "name": "r-1", "host": HOST, "prefix": PREFIX, "service": SERVICE, "priority": 0,
-                    "maxAttempts": 2, "stretchFactor": 1.6, "targetLatencyMs": 60,
+                    "name": f"r-{prefix.strip('/')}", "host": HOST, "prefix": prefix, "type": "non_idempotent",
+                    "timeoutMs": 60_000, "service": SERVICE, "priority": 0, "maxAttempts": 2,
+                    "stretchFactor": 1.6, "targetLatencyMs": 60,
                 }
-                | route
+                for prefix in prefixes or (PREFIX,)
             ],
             "services": [{"name": SERVICE, "validate": True}],
             "limits": {"maxBodyBytes": 262144},
         }
         self.store.put("op/config", json.dumps(document).encode())
+        self.record.write(f"operator: version {self.version}, routes {prefixes or (PREFIX,)}")
 
     def _settings(self, role: str, index: int, host: str, extra: dict[str, object]) -> Path:
         zone = ZONES[index % len(ZONES)]
@@ -270,9 +276,9 @@
         self.record.write(f"client <- entry {entry}: {method} {path} -> {status} {text}")
         return status, text
 
-    def post(self, entry: int, job: str, body: dict, **options) -> "Answer":
+    def post(self, entry: int, job: str, body: dict, prefix: str = PREFIX, **options) -> "Answer":
         """Submits a job from a thread of its own."""
-        return Answer(lambda: self.request(entry, "POST", PREFIX + job, body, **options))
+        return Answer(lambda: self.request(entry, "POST", prefix + job, body, **options))
 
     def runs(self, job: str = ""):
         """Returns the runs of a job on all minions, in the order of their starts."""
--- a/review/standins-2/minion.py
+++ b/review/standins-2/minion.py
@@ -25,6 +25,8 @@
         self.minion, self.task, self.attempt, self.cpu, self.spec = minion, task, attempt, cpu, spec
         self.started_at, self.ended_at, self.how = now, 0.0, ""
         self.labels = list(minion.labels)
+        # How long it stood still with its machine.
+        self.paused_s = 0.0
         self.run_s = int(spec.partition("run_ms=")[2].split(";")[0] or 100) / 1000
 
 
@@ -140,6 +142,21 @@
         self._listen()
         self.record.write(f"minion {self.name}: new boot, labels {self.labels}, born {self.born}")
 
+    def suspend(self) -> None:
+        """Stands still with its machine until ``resume``; called from one thread."""
+        self.changed.acquire()
+        self.suspended_at = time.monotonic()
+        self.record.write(f"minion {self.name}: suspended")
+
+    def resume(self) -> None:
+        """Goes on; its steady clock has not counted the time."""
+        stood_s = time.monotonic() - self.suspended_at
+        self.booted_at += stood_s
+        for run in self.running.values():
+            run.paused_s += stood_s
+        self.changed.release()
+        self.record.write(f"minion {self.name}: goes on after {stood_s:.3f} s")
+
     def close(self) -> None:
         self.is_closed = True
         if not self.is_down:
@@ -175,7 +192,7 @@
                 for run in list(self.running.values()):
                     if self.clock_ms() > self.lease_ms:
                         self._end(run, "lapsed")
-                    elif now - run.started_at >= run.run_s:
+                    elif now - run.started_at - run.paused_s >= run.run_s:
                         self._end(run, "done")
 
     def _end(self, run: Run, how: str) -> None:
@@ -252,7 +269,7 @@
         if self.is_down:
             return None
         now = time.monotonic()
-        running = [[run.task, run.attempt, "", min(99, int(100 * (now - run.started_at) / run.run_s)), run.cpu]
+        running = [[run.task, run.attempt, "", min(99, int(100 * (now - run.started_at - run.paused_s) / run.run_s)), run.cpu]
                    for run in self.running.values()]
         ended = [[number, run.task, run.attempt, run.how, ""] for number, run in self.ended[:500]]
         return 200, {"clockMs": self.clock_ms(), "born": self.born, "running": running, "finished": ended}
