--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -73,9 +73,16 @@
             self.file.flush()
 
 
+PICKED: set[int] = set()
+
+
 def free_port(host: str) -> int:
+    """Returns a free port; none is returned twice."""
     while True:
         port = random.randrange(10_000, 32_768)
+        if port in PICKED:
+            continue
+        PICKED.add(port)
         with socket.socket() as probe:
             try:
                 probe.bind((host, port))
