--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -363,6 +363,8 @@
 def play(case: str, check) -> None:
     """Runs a check: it returns what broke the rule, or an empty text."""
     random.seed()
+    # The time limit of the script; the processes are ended on the way out.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         broken = check(Path(case).resolve().parent)
     except CannotRun as error:
