--- a/src/jackdawkeel/scheduling/agent_node.py
+++ b/src/jackdawkeel/scheduling/agent_node.py
@@ -256,7 +256,6 @@
 
     def tick(self) -> None:
         """Processes timeouts of the assignments and sends due reports."""
-        self.target_link.tick()
         self.executor.tick()
         self.reports.tick()
 
--- a/src/jackdawkeel/scheduling/agent_views.py
+++ b/src/jackdawkeel/scheduling/agent_views.py
@@ -16,10 +16,8 @@
 from ..policy.suspects import find_suspects
 from ..policy.target_speed import find_kind
 from .crash_records import ExchangeProgress
-from .leases import LATEST_STOP_S
 from .leases import LINK_SILENCE_TIMEOUT_S
 from .leases import latest_run_end
-from .leases import latest_suspended_run_end
 from .run_times import RunTimes
 
 
@@ -31,7 +29,6 @@
     from ..logs import EventLog
     from ..messages import PeerAddress
     from ..messages.scheduling import AgentReport
-    from ..messages.scheduling import TaskUpdate
     from .resources import Resources
 
 
@@ -53,8 +50,7 @@
         address: Address of the agent's process.
         report: Its newest report.
         last_seen_at: When a report last arrived, in seconds of the entry's clock.
-        updates_through: Sequence number of the last update that was applied; no earlier
-            one is missing.
+        updates_through: Sequence number of the last update that was applied.
         unreported: Demands of assignments, by number, that its reports do not count
             yet.
         is_silent: Whether its silence has been logged.
@@ -89,22 +85,6 @@
         if has_new_labels:
             self._read_labels()
 
-    def accept_updates(self, report: AgentReport) -> list[TaskUpdate]:
-        """Returns the updates of a report that are due, and records their receipt.
-
-        A full report has all updates that are not acknowledged. Any other one may
-        follow a lost report, whose updates the next full report repeats.
-        """
-        accepted = []
-        for update in report.updates:
-            if update.sequence <= self.updates_through:
-                continue
-            if not report.is_full and update.sequence != self.updates_through + 1:
-                break
-            self.updates_through = update.sequence
-            accepted.append(update)
-        return accepted
-
     def _read_labels(self) -> None:
         self.labels = frozenset(self.report.target.labels)
         self.kind = find_kind(self.report.target.labels)
@@ -141,15 +121,11 @@
 
     Attributes:
         views: The agents that report, by incarnation.
-        unreachable: Agents that have not reported for so long that only a suspension of
-            their VMs can have kept their runs from ending, by incarnation.
         links: Incarnation of the last agent at each link address, also of one that no
             longer reports, so that a report of its predecessor is recognised.
         replaced: Incarnations of agents that another process at their link address has
             replaced, oldest first.
         run_times: Run times learnt from the ends of runs.
-        stops_pending_until: Until when an agent that was silent may be stopping the
-            runs of owners whose leases have expired, in seconds of the clock.
     """
 
     def __init__(
@@ -164,13 +140,11 @@
         self.log = log
         self.redial = redial
         self.views: dict[str, AgentView] = {}
-        self.unreachable: dict[str, AgentView] = {}
         self.links: dict[str, str] = {}
         self.replaced: dict[str, None] = {}
         self.run_times = RunTimes(clock, log)
         self.suspects: dict[str, frozenset[str]] = {}
         self.summaries: dict[str, ServiceSummary] = {}
-        self.stops_pending_until = 0.0
         self.median = 1.0
         self.median_made_at = -math.inf
 
@@ -178,7 +152,7 @@
         """Returns whether a newer process has reported from the agent's address.
 
         Processes of one VM share a clock. After a reboot it starts anew, so an earlier
-        time proves nothing once the other process is unreachable.
+        time proves nothing once the other process has expired.
         """
         if sender.incarnation in self.replaced:
             return True
@@ -197,15 +171,10 @@
             any. A sender reports only once its target runs nothing of that incarnation.
         """
         now = self.clock()
-        if sender.incarnation in self.unreachable:
-            returned = self.unreachable.pop(sender.incarnation)
-            self.views[sender.incarnation] = returned
         view = self.views.get(sender.incarnation)
         if view is not None:
             if report.sent_at >= view.report.sent_at:
                 view.set_report(report)
-            if now > view.last_seen_at + USABLE_AGE_S:
-                self.stops_pending_until = now + LATEST_STOP_S
             view.last_seen_at = now
             if view.is_silent:
                 view.is_silent = False
@@ -219,8 +188,6 @@
         replaced = None
         if previous is not None and previous != sender.incarnation:
             replaced = self.views.pop(previous, None)
-            if replaced is None:
-                replaced = self.unreachable.pop(previous, None)
             self.replaced[previous] = None
             if len(self.replaced) > MAX_REPLACED_AGENTS:
                 del self.replaced[next(iter(self.replaced))]
@@ -251,45 +218,18 @@
             cpu_millis=target.capacity.cpu_millis,
         )
 
-    def set_unreachable(self) -> list[AgentView]:
-        """Sets aside and returns the agents that run nothing unless suspended."""
-        now = self.clock()
-        silent = [
-            view
-            for view in self.views.values()
-            if now > latest_run_end(view.last_seen_at)
-        ]
-        for view in silent:
-            del self.views[view.address.incarnation]
-            self.unreachable[view.address.incarnation] = view
-        return silent
-
     def remove_expired(self) -> list[AgentView]:
         """Removes and returns the agents that can't run anything of this entry."""
         now = self.clock()
         expired = [
             view
-            for view in self.unreachable.values()
-            if now > latest_suspended_run_end(view.last_seen_at)
+            for view in self.views.values()
+            if now > latest_run_end(view.last_seen_at)
         ]
         for view in expired:
-            del self.unreachable[view.address.incarnation]
+            del self.views[view.address.incarnation]
         return expired
 
-    def has_silent_agent(self) -> bool:
-        """Returns whether runs of an entry that has failed may go on at an agent.
-
-        Agents that are silent may be suspended with their VMs. Those that were silent
-        may not have stopped such runs yet.
-        """
-        now = self.clock()
-        oldest = now - USABLE_AGE_S
-        return (
-            now < self.stops_pending_until
-            or bool(self.unreachable)
-            or any(view.last_seen_at < oldest for view in self.views.values())
-        )
-
     def check_silence(self) -> None:
         """Logs agents that have become silent and replaces their connections."""
         now = self.clock()
--- a/src/jackdawkeel/scheduling/job_scheduler.py
+++ b/src/jackdawkeel/scheduling/job_scheduler.py
@@ -10,8 +10,6 @@
 from ..policy.target_speed import find_distance_factor
 from ..policy.waiting import would_end_too_late
 from .agent_connectivity import AgentConnectivity
-from .agent_events import record_lost
-from .agent_events import record_unreachable
 from .assignment_sender import AssignmentSender
 from .crash_records import CrashRecords
 from .job import Job
@@ -141,7 +139,6 @@
             send=send,
             redial=views.redial,
             list_entries=list_entries,
-            has_silent_agent=views.has_silent_agent,
             jobs=self.jobs,
             ended_jobs=self.ended_jobs,
             assignments=self.assignments.open,
@@ -351,12 +348,13 @@
                 EventName.CONNECTIVITY_RESTORED, outage_s=round(outage_s, 3)
             )
         view, replaced = self.views.record_report(sender, report)
-        self.assignments.open.set_reachable(sender.incarnation, is_reachable=True)
         self._receive_crashes(view, report)
         if replaced is not None:
             self.handle_lost_agent(replaced, "replaced", successor=sender.incarnation)
-        for update in view.accept_updates(report):
-            self._apply_update(update, sender.incarnation)
+        for update in report.updates:
+            if update.sequence > view.updates_through:
+                view.updates_through = update.sequence
+                self._apply_update(update, sender.incarnation)
         if report.is_full:
             now = self.clock()
             self.assignments.resend_missing(
@@ -458,8 +456,15 @@
         """
         incarnation = view.address.incarnation
         lost = self.assignments.open.list_of_agent(incarnation)
-        record_lost(
-            self.log, view, lost, self.clock(), reason=reason, successor=successor
+        self.log.record(
+            EventName.AGENT_LOST,
+            agent=incarnation,
+            node=view.report.target.node,
+            reason=reason,
+            successor=successor,
+            report_age_ms=round(MS_PER_S * (self.clock() - view.last_seen_at), 1),
+            orders=[assignment.number for assignment in lost],
+            jobs=sorted({assignment.job.spec.job_id for assignment in lost}),
         )
         for assignment in lost:
             self.assignments.close(assignment)
@@ -469,17 +474,6 @@
             else:
                 self._apply_end(assignment.job, assignment.task, TaskStatus.LOST)
 
-    def _handle_unreachable_agent(self, view: AgentView) -> None:
-        """Keeps the assignments of a silent agent open.
-
-        Its VM may be suspended. The runs go on when it is resumed, until their agent
-        has stopped them.
-        """
-        incarnation = view.address.incarnation
-        kept = self.assignments.open.list_of_agent(incarnation)
-        self.assignments.open.set_reachable(incarnation, is_reachable=False)
-        record_unreachable(self.log, view, kept, self.clock())
-
     # End of jobs.
 
     def _end_if_given_up(self, job: Job) -> bool:
@@ -529,8 +523,6 @@
         end too late are ended, and stops of open assignments are resent.
         """
         now = self.clock()
-        for view in self.views.set_unreachable():
-            self._handle_unreachable_agent(view)
         for view in self.views.remove_expired():
             self.handle_lost_agent(view, "expired")
         for job in list(self.jobs.values()):
