Entry: an update of a lost report is applied when it is repeated

Callers saw jobs that were answered only at their deadline although all their tasks had ended, after the connection between an entry and an agent had gone silent once.

Cause: an entry keeps the sequence number of the last update that it has applied. The next report after a lost one contains only newer updates, so that number passed over those of the lost report: they counted as applied, were acknowledged, and ignored when a full report repeated them.

Now a report that is not full is applied only up to the first missing update. A full report contains every update that is not acknowledged, and comes at most 0.2 s later.

Evidence: the new test failed before (the job had no result after the repeated update).

--- a/src/jackdawkeel/scheduling/agent_views.py
+++ b/src/jackdawkeel/scheduling/agent_views.py
@@ -29,6 +29,7 @@
     from ..logs import EventLog
     from ..messages import PeerAddress
     from ..messages.scheduling import AgentReport
+    from ..messages.scheduling import TaskUpdate
     from .resources import Resources
 
 
@@ -50,7 +51,8 @@
         address: Address of the agent's process.
         report: Its newest report.
         last_seen_at: When a report last arrived, in seconds of the entry's clock.
-        updates_through: Sequence number of the last update that was applied.
+        updates_through: Sequence number of the last update that was applied; no earlier
+            one is missing.
         unreported: Demands of assignments, by number, that its reports do not count
             yet.
         is_silent: Whether its silence has been logged.
@@ -85,6 +87,22 @@
         if has_new_labels:
             self._read_labels()
 
+    def accept_updates(self, report: AgentReport) -> list[TaskUpdate]:
+        """Returns the updates of a report that are due, and records their receipt.
+
+        A full report has all updates that are not acknowledged. Any other one may
+        follow a lost report, whose updates the next full report repeats.
+        """
+        accepted = []
+        for update in report.updates:
+            if update.sequence <= self.updates_through:
+                continue
+            if not report.is_full and update.sequence != self.updates_through + 1:
+                break
+            self.updates_through = update.sequence
+            accepted.append(update)
+        return accepted
+
     def _read_labels(self) -> None:
         self.labels = frozenset(self.report.target.labels)
         self.kind = find_kind(self.report.target.labels)
--- a/src/jackdawkeel/scheduling/job_scheduler.py
+++ b/src/jackdawkeel/scheduling/job_scheduler.py
@@ -351,10 +351,8 @@
         self._receive_crashes(view, report)
         if replaced is not None:
             self.handle_lost_agent(replaced, "replaced", successor=sender.incarnation)
-        for update in report.updates:
-            if update.sequence > view.updates_through:
-                view.updates_through = update.sequence
-                self._apply_update(update, sender.incarnation)
+        for update in view.accept_updates(report):
+            self._apply_update(update, sender.incarnation)
         if report.is_full:
             now = self.clock()
             self.assignments.resend_missing(
--- a/tests/scheduling/test_job_scheduler.py
+++ b/tests/scheduling/test_job_scheduler.py
@@ -229,6 +229,18 @@
         self.assertEqual(job.result, JobResult.FAILED)
         self.assertEqual(self.pop_assignments(), [])
 
+    def test_an_update_of_a_lost_report_is_applied_when_it_is_repeated(self) -> None:
+        """Guards against a job that waits for an end that its entry has passed over."""
+        job = self.accept(make_job(2))
+        first, second = (item.number for _, item in self.pop_assignments())
+        lost = self.agent.report((first, TaskStatus.DONE))
+        self.deliver(self.agent, (second, TaskStatus.DONE))
+        repeated = self.agent.report(open_assignments=[])
+        later = TaskUpdate(2, second, TaskStatus.DONE.value, 1, 100.0)
+        repeated.updates.extend([*lost.updates, later])
+        self.scheduler.handle_report(self.agent.address, repeated)
+        self.assertEqual(job.result, JobResult.COMPLETED)
+
     def test_a_lost_run_does_not_count_as_a_failure(self) -> None:
         job = self.accept(make_job(1))
         for attempt in range(1, 5):
