Agent: runs are not reported as lost because of the agent's own pause

Cause: an agent ends runs as lost once the lease of its target has expired while calls fail. It measured the lease with its own clock, which counts a suspension; the target's steady clock does not. The call that was pending when the VM was suspended fails when it continues, so all runs were reported as lost at once and started elsewhere, while the target ran them for the rest of their lease.

The lease is now measured with a clock that leaves out pauses of the agent's event loop of more than 0.3 s. If the target stood still as well, the time is right; if it did not, the runs are listed as ended by the next call, and only a target that does not reply any more is declared lost later, by at most the length of the pause.

Ruled out: expired leases of the owners, since `owner_silent` follows later with 0 orders. Both new tests failed before (no run was left; no clock to tick).

--- a/src/jackdawkeel/scheduling/agent_node.py
+++ b/src/jackdawkeel/scheduling/agent_node.py
@@ -256,6 +256,7 @@
 
     def tick(self) -> None:
         """Processes timeouts of the assignments and sends due reports."""
+        self.target_link.tick()
         self.executor.tick()
         self.reports.tick()
 
--- a/src/jackdawkeel/scheduling/target_link.py
+++ b/src/jackdawkeel/scheduling/target_link.py
@@ -13,6 +13,7 @@
 from .leases import MAX_TARGET_LEASE_S
 from .leases import TARGET_CLOCK_DRIFT
 from .leases import TARGET_LEASE_S
+from .running_clock import RunningClock
 from .target_runtime import Listing
 from .target_runtime import StartOutcome
 from .target_runtime import TargetFailure
@@ -79,11 +80,13 @@
         requested_at: When it was requested, in seconds of the clock.
         lease_until: End of the lease to request; None for no renewal.
         wait_s: Longest wait for the end of a run, in seconds.
+        paused_s: Length of the pauses of this process before the request, in seconds.
     """
 
     requested_at: float
     lease_until: float | None
     wait_s: float
+    paused_s: float = 0.0
 
 
 class TargetLink:
@@ -94,8 +97,10 @@
 
     Attributes:
         crashes: Notices crashes of the target.
+        running_clock: The clock without the pauses of this process, in which the target
+            may have been suspended with it.
         lease_until: Latest end of a lease that the target may have granted, in seconds
-            of the clock; a renewal that is under way is not included.
+            of that clock; a renewal that is under way is not included.
         starts: Starts of this iteration of the event loop, not sent yet.
         is_polling: Whether an immediate listing is pending.
         is_poll_wanted: Whether another one is to follow it.
@@ -113,6 +118,7 @@
         self.target = target
         self.clock = clock
         self.log = log
+        self.running_clock = RunningClock(clock)
         self.executor: TaskExecutor | None = None
         self.crashes = CrashWatch(target, clock, log, self._find_executor)
         self.acknowledged = 0
@@ -146,12 +152,25 @@
         )
         return self.executor
 
+    def tick(self) -> None:
+        """Notices pauses of this process; called at short intervals."""
+        self.running_clock()
+
+    def _extend_lease(self, until: float, paused_s: float) -> None:
+        """Records a lease that the target may have granted.
+
+        Args:
+            until: Its end, in seconds of the clock.
+            paused_s: Length of the pauses before it was requested.
+        """
+        self.lease_until = max(self.lease_until, until - paused_s)
+
     def _find_executor(self) -> TaskExecutor:
         return self.tasks
 
     def start(self, run: TaskRun, lease_until: float) -> None:
         """Sends a start and passes its outcome to the executor."""
-        self.lease_until = max(self.lease_until, lease_until)
+        self._extend_lease(lease_until, self.running_clock.paused_s)
         if not self.starts:
             self.loop.call_soon(self._send_starts)
         self.starts.append(StartCall(run, run.run, lease_until))
@@ -253,7 +272,9 @@
             return
         try:
             now = self.clock()
-            call = HoldCall(now, self.choose_lease_end(now), HOLD_WAIT_S)
+            lease_until = self.choose_lease_end(now)
+            paused_s = self.running_clock.paused_s
+            call = HoldCall(now, lease_until, HOLD_WAIT_S, paused_s)
             self.hold_thread.submit(self._call_hold, call, self._handle_hold)
         except Exception:
             self.log.record_exception("requesting a listing of the target")
@@ -261,8 +282,8 @@
 
     def _handle_hold(self, call: HoldCall, answer: Listing | TargetFailure) -> None:
         pause_s = 0.0
-        if answer is not TargetFailure.UNREACHABLE:
-            self.lease_until = max(self.lease_until, call.lease_until or 0.0)
+        if answer is not TargetFailure.UNREACHABLE and call.lease_until is not None:
+            self._extend_lease(call.lease_until, call.paused_s)
         try:
             if isinstance(answer, Listing):
                 self._apply_listing(answer, call.requested_at)
@@ -332,7 +353,9 @@
             self.log.record(EventName.TARGET_GONE, born_ms=self.target.born_ms)
             # Earlier calls that are carried out late are refused from the next call on.
             self.target.fencing_token += 1
-            self.lease_until = max(self.lease_until, self.clock() + MAX_TARGET_LEASE_S)
+            self.lease_until = max(
+                self.lease_until, self.running_clock() + MAX_TARGET_LEASE_S
+            )
             self.tasks.handle_new_incarnation()
         self.target.born_ms = born_ms
         self.acknowledged = 0
@@ -347,7 +370,7 @@
         if silent_s > MAX_SILENCE_FOR_RENEWAL_S or is_refused:
             self.target.set_reachable(False, failure.value)
         drift_s = TARGET_CLOCK_DRIFT * (TARGET_LEASE_S + MAX_SILENCE_FOR_RENEWAL_S)
-        expired_s = self.clock() - self.lease_until - drift_s
+        expired_s = self.running_clock() - self.lease_until - drift_s
         if expired_s > 0:
             self.crashes.record_lost_runs(is_refused=is_refused)
         if expired_s > MAX_TARGET_LEASE_S - TARGET_LEASE_S and self.tasks.by_run:
--- a/tests/scheduling/test_target_link.py
+++ b/tests/scheduling/test_target_link.py
@@ -315,6 +315,49 @@
         self.assertEqual(self.statuses(), [(1, TaskStatus.LOST)])
 
 
+class PauseTest(TargetLinkTestCase):
+    """The VM of the agent and its target is suspended while a run is at work."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.link.loop = Mock()
+
+    def test_runs_are_not_lost_while_the_suspended_target_may_run_them(self) -> None:
+        """Guards against a run that is reported as lost and goes on."""
+        self.renew_lease()
+        self.assign(1)
+        lease_s = self.runtime.lease_until - self.clock()
+        call = HoldCall(self.clock(), None, HOLD_INTERVAL_S)
+        self.clock.advance(2.5)
+        self.link._handle_hold(call, TargetFailure.NO_ANSWER)
+        self.assertEqual(len(self.executor.by_run), 1)
+        resumed_at = self.clock()
+        while self.executor.by_run and self.clock() < resumed_at + 1.0:
+            self.clock.advance(TICK_S)
+            self.link.tick()
+            self.link._handle_hold(call, TargetFailure.NO_ANSWER)
+        self.assertEqual(len(self.executor.by_run), 0)
+        self.assertGreaterEqual(self.clock(), resumed_at + lease_s)
+
+    def test_a_lease_that_was_requested_before_a_pause_may_be_granted_after_it(
+        self,
+    ) -> None:
+        """Guards against a run that is lost under a renewal that the pause delayed."""
+        self.renew_lease()
+        self.assign(1)
+        self.elapse(0.2, ENTRY)
+        now = self.clock()
+        call = HoldCall(now, now + TARGET_LEASE_S, HOLD_INTERVAL_S)
+        self.clock.advance(2.5)
+        self.link.tick()
+        self.link._handle_hold(call, TargetFailure.NO_ANSWER)
+        resumed_at = self.clock()
+        while self.clock() < resumed_at + TARGET_LEASE_S:
+            self.assertEqual(len(self.executor.by_run), 1)
+            self.clock.advance(TICK_S)
+            self.link._handle_hold(call, TargetFailure.UNREACHABLE)
+
+
 class RefusedRenewalTest(TargetLinkTestCase):
     """The target has crashed: it refuses connections, or does not reply."""
 
