Entry: tasks of a silent agent are not started elsewhere while its VM may be suspended

Cause: an entry took it that the runs of a silent agent have ended when both leases have expired. A target's lease is measured on its steady clock, which stands still while the VM is suspended, so up to the whole lease is left afterwards. No lease can prevent that, and no message can tell a suspended VM from one that has failed. Stopping the runs faster only shortens the overlap.

Now such an agent becomes unreachable after 1.4 s: it gets no tasks and its assignments claim no capacity, but they stay open until the agent reports their end, another process reports from its address, or a suspension of 8 s would be over too. 8 s is twice the longest freeze in the deployments' sheets. The event `agent_unreachable` tells which assignments wait.

Ruled out: starting the tasks anew at once and stopping the second runs when the agent returns, since both run until then; shorter leases, which leave an overlap of their length; the platform's store, which does not see the agents.

The new integration test failed before with four overlapping runs; the test of silent agents now demands the longer time.

The stand-in of the target can be suspended, and the soak has the fault `suspend_machine`.

--- a/src/jackdawkeel/events.py
+++ b/src/jackdawkeel/events.py
@@ -36,6 +36,7 @@
     AGENT_HEARD = "agent_heard"
     AGENT_SILENT = "agent_silent"
     AGENT_LEAVING = "agent_leaving"
+    AGENT_UNREACHABLE = "agent_unreachable"
     AGENT_LOST = "agent_lost"
     CALLER_DISCONNECTED = "caller_disconnected"
     CONNECTIVITY_RESTORED = "connectivity_restored"
--- a/src/jackdawkeel/scheduling/agent_views.py
+++ b/src/jackdawkeel/scheduling/agent_views.py
@@ -18,6 +18,7 @@
 from .crash_records import ExchangeProgress
 from .leases import LINK_SILENCE_TIMEOUT_S
 from .leases import latest_run_end
+from .leases import latest_suspended_run_end
 from .run_times import RunTimes
 
 
@@ -139,6 +140,8 @@
 
     Attributes:
         views: The agents that report, by incarnation.
+        unreachable: Agents that have not reported for so long that only a suspension of
+            their VMs can have kept their runs from ending, by incarnation.
         links: Incarnation of the last agent at each link address, also of one that no
             longer reports, so that a report of its predecessor is recognised.
         replaced: Incarnations of agents that another process at their link address has
@@ -158,6 +161,7 @@
         self.log = log
         self.redial = redial
         self.views: dict[str, AgentView] = {}
+        self.unreachable: dict[str, AgentView] = {}
         self.links: dict[str, str] = {}
         self.replaced: dict[str, None] = {}
         self.run_times = RunTimes(clock, log)
@@ -170,7 +174,7 @@
         """Returns whether a newer process has reported from the agent's address.
 
         Processes of one VM share a clock. After a reboot it starts anew, so an earlier
-        time proves nothing once the other process has expired.
+        time proves nothing once the other process is unreachable.
         """
         if sender.incarnation in self.replaced:
             return True
@@ -189,6 +193,9 @@
             any. A sender reports only once its target runs nothing of that incarnation.
         """
         now = self.clock()
+        if sender.incarnation in self.unreachable:
+            returned = self.unreachable.pop(sender.incarnation)
+            self.views[sender.incarnation] = returned
         view = self.views.get(sender.incarnation)
         if view is not None:
             if report.sent_at >= view.report.sent_at:
@@ -206,6 +213,8 @@
         replaced = None
         if previous is not None and previous != sender.incarnation:
             replaced = self.views.pop(previous, None)
+            if replaced is None:
+                replaced = self.unreachable.pop(previous, None)
             self.replaced[previous] = None
             if len(self.replaced) > MAX_REPLACED_AGENTS:
                 del self.replaced[next(iter(self.replaced))]
@@ -236,16 +245,29 @@
             cpu_millis=target.capacity.cpu_millis,
         )
 
+    def set_unreachable(self) -> list[AgentView]:
+        """Sets aside and returns the agents that run nothing unless suspended."""
+        now = self.clock()
+        silent = [
+            view
+            for view in self.views.values()
+            if now > latest_run_end(view.last_seen_at)
+        ]
+        for view in silent:
+            del self.views[view.address.incarnation]
+            self.unreachable[view.address.incarnation] = view
+        return silent
+
     def remove_expired(self) -> list[AgentView]:
         """Removes and returns the agents that can't run anything of this entry."""
         now = self.clock()
         expired = [
             view
-            for view in self.views.values()
-            if now > latest_run_end(view.last_seen_at)
+            for view in self.unreachable.values()
+            if now > latest_suspended_run_end(view.last_seen_at)
         ]
         for view in expired:
-            del self.views[view.address.incarnation]
+            del self.unreachable[view.address.incarnation]
         return expired
 
     def check_silence(self) -> None:
--- a/src/jackdawkeel/scheduling/job_admission.py
+++ b/src/jackdawkeel/scheduling/job_admission.py
@@ -244,6 +244,7 @@
         (max(0.0, item.sent_at + item.expected_s - now), item.demand.cpu_millis)
         for item in assignments.by_number.values()
         if item.job.queue.service == service
+        and item.agent not in assignments.unreachable
     )
     last_end_s = 0.0
     for end_s, cpu_millis in ends:
--- a/src/jackdawkeel/scheduling/job_scheduler.py
+++ b/src/jackdawkeel/scheduling/job_scheduler.py
@@ -348,6 +348,7 @@
                 EventName.CONNECTIVITY_RESTORED, outage_s=round(outage_s, 3)
             )
         view, replaced = self.views.record_report(sender, report)
+        self.assignments.open.set_reachable(sender.incarnation, is_reachable=True)
         self._receive_crashes(view, report)
         if replaced is not None:
             self.handle_lost_agent(replaced, "replaced", successor=sender.incarnation)
@@ -472,6 +473,23 @@
             else:
                 self._apply_end(assignment.job, assignment.task, TaskStatus.LOST)
 
+    def _handle_unreachable_agent(self, view: AgentView) -> None:
+        """Keeps the assignments of an agent whose VM may be suspended.
+
+        The suspended runs go on when the VM does, before their agent can stop them.
+        """
+        incarnation = view.address.incarnation
+        kept = self.assignments.open.list_of_agent(incarnation)
+        self.assignments.open.set_reachable(incarnation, is_reachable=False)
+        self.log.record(
+            EventName.AGENT_UNREACHABLE,
+            agent=incarnation,
+            node=view.report.target.node,
+            report_age_ms=round(MS_PER_S * (self.clock() - view.last_seen_at), 1),
+            orders=[assignment.number for assignment in kept],
+            jobs=sorted({assignment.job.spec.job_id for assignment in kept}),
+        )
+
     # End of jobs.
 
     def _end_if_given_up(self, job: Job) -> bool:
@@ -521,6 +539,8 @@
         end too late are ended, and stops of open assignments are resent.
         """
         now = self.clock()
+        for view in self.views.set_unreachable():
+            self._handle_unreachable_agent(view)
         for view in self.views.remove_expired():
             self.handle_lost_agent(view, "expired")
         for job in list(self.jobs.values()):
--- a/src/jackdawkeel/scheduling/leases.py
+++ b/src/jackdawkeel/scheduling/leases.py
@@ -5,6 +5,9 @@
 agent. A caller whose entry failed resubmits the job after about 1.3 s, so both leases
 together must expire before that. A target whose runs do not end when they are stopped
 gets no further lease, so they end at most ``TARGET_LEASE_S`` after they had to.
+
+The lease of a target is measured on its steady clock, which stands still while its VM
+is suspended. Nobody else can tell a suspended VM from one that has failed.
 """
 
 from __future__ import annotations
@@ -21,6 +24,9 @@
 # Time after which the target's lease ends if a run that had to end has not ended. A
 # lost call and its repetition fit into it, and it is below TARGET_LEASE_S.
 STOP_EFFECT_TIMEOUT_S = 0.3
+# Longest suspension of a VM during which its runs are not started elsewhere; twice the
+# longest freeze that the deployments specify.
+MAX_SUSPENSION_S = 8.0
 # Time that a target needs to stop a task, including the calls.
 TASK_STOP_S = 0.15
 # Three reports fit into OWNER_LEASE_S, so that two in a row may be lost.
@@ -32,9 +38,16 @@
 def latest_run_end(last_seen_at: float) -> float:
     """Returns when a silent agent can no longer run anything of an owner.
 
+    This holds only if its VM has not been suspended.
+
     Args:
         last_seen_at: When the owner last received a report that it could reply to, in
             seconds of its clock; the lease at the agent counts from an earlier time.
     """
     target_lease_s = TARGET_LEASE_S * (1 + TARGET_CLOCK_DRIFT)
     return last_seen_at + OWNER_LEASE_S + target_lease_s + TASK_STOP_S
+
+
+def latest_suspended_run_end(last_seen_at: float) -> float:
+    """Returns when the above holds also for an agent whose VM was suspended."""
+    return latest_run_end(last_seen_at) + MAX_SUSPENSION_S
--- a/src/jackdawkeel/scheduling/open_assignments.py
+++ b/src/jackdawkeel/scheduling/open_assignments.py
@@ -31,9 +31,15 @@
 
 
 class OpenAssignments:
-    """Open assignments by number, agent and job id, and the capacity they claim."""
+    """Open assignments by number, agent and job id, and the capacity they claim.
+
+    Attributes:
+        unreachable: Incarnations of agents whose assignments claim no capacity, because
+            the agents are not counted as capacity either.
+    """
 
     def __init__(self) -> None:
+        self.unreachable: set[str] = set()
         self.by_number: dict[int, OpenAssignment] = {}
         self.by_agent: defaultdict[str, dict[int, OpenAssignment]] = defaultdict(dict)
         self.by_job_id: defaultdict[str, dict[int, OpenAssignment]] = defaultdict(dict)
@@ -63,7 +69,21 @@
         if not self.by_job_id[job_id]:
             del self.by_job_id[job_id]
         assignment.job.open_assignments.pop(assignment.number, None)
-        self._claim(assignment, -1)
+        if assignment.agent not in self.unreachable:
+            self._claim(assignment, -1)
+        elif assignment.agent not in self.by_agent:
+            self.unreachable.remove(assignment.agent)
+
+    def set_reachable(self, agent: str, *, is_reachable: bool) -> None:
+        """Sets whether the assignments of an agent claim capacity."""
+        if agent not in self.by_agent or is_reachable != (agent in self.unreachable):
+            return
+        if is_reachable:
+            self.unreachable.remove(agent)
+        else:
+            self.unreachable.add(agent)
+        for assignment in self.by_agent[agent].values():
+            self._claim(assignment, 1 if is_reachable else -1)
 
     def list_of_agent(self, agent: str) -> list[OpenAssignment]:
         """Returns the assignments of an agent, by its incarnation."""
--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -17,6 +17,8 @@
 
 # Time after which a caller resubmits a job whose connection was lost, in seconds.
 RESUBMISSION_DELAY_S = 1.3
+# Longer than all leases of a task together, in seconds.
+SUSPENSION_S = 2.5
 
 
 def make_job_id(number: int) -> str:
@@ -133,6 +135,24 @@
         self.wait_for_ends(make_job_id(1))
         self.fleet.entries[0].process.resume()
 
+    def test_tasks_of_a_suspended_machine_do_not_run_beside_their_second_runs(
+        self,
+    ) -> None:
+        """Guards against runs that go on when a VM is resumed after its leases ended.
+
+        The time that it is suspended is not on the clock of its target.
+        """
+        self.set_run_time(4.0)
+        self.submit_in_background(make_job_id(1), count=6)
+        self.wait_for_runs(make_job_id(1), 6)
+        agent = self.fleet.agents[0]
+        self.assertTrue(agent.target.runs)
+        agent.suspend_machine()
+        time.sleep(SUSPENSION_S)
+        agent.resume_machine()
+        self.threads[0].join()
+        self.assertEqual(self.statuses[make_job_id(1)], 200, self.fleet.log_tail())
+
     def test_tasks_end_when_the_caller_disconnects(self) -> None:
         self.set_run_time(30.0)
         with self.assertRaises(urllib3.exceptions.HTTPError):
--- a/tests/scheduling/test_job_scheduler.py
+++ b/tests/scheduling/test_job_scheduler.py
@@ -26,10 +26,12 @@
 from jackdawkeel.policy.late_requests import DISCONNECT_DELAY_S
 from jackdawkeel.policy.waiting import OVERLOAD_S
 from jackdawkeel.scheduling.agent_views import AgentViews
+from jackdawkeel.scheduling.assignment_sender import STOP_RESEND_INTERVAL_S
 from jackdawkeel.scheduling.job import Job
 from jackdawkeel.scheduling.job import JobResult
 from jackdawkeel.scheduling.job_scheduler import JobScheduler
 from jackdawkeel.scheduling.leases import latest_run_end
+from jackdawkeel.scheduling.leases import latest_suspended_run_end
 from jackdawkeel.scheduling.resources import Resources
 from jackdawkeel.scheduling.specification import JobSpec
 from jackdawkeel.scheduling.specification import Queue
@@ -252,12 +254,12 @@
     def test_tasks_of_a_silent_agent_are_reassigned_after_their_latest_end(
         self,
     ) -> None:
-        """A run may go on until both leases expire and its target has stopped it."""
-        self.accept(make_job(1))
+        """Guards against a second run while a suspended VM may still run the first."""
+        self.accept(make_job(1), deadline_s=30)
         self.pop_assignments()
         last_seen_at = self.clock()
         other = FakeAgent("b", 2, self.clock)
-        while self.clock() <= latest_run_end(last_seen_at):
+        while self.clock() <= latest_suspended_run_end(last_seen_at):
             self.deliver(other)
             self.scheduler.tick()
             self.assertEqual(self.pop_assignments(), [])
@@ -267,6 +269,63 @@
         self.assertEqual(recipient, other.address)
         self.assertEqual(assignment.attempt, 2)
 
+    def lose_contact(self) -> None:
+        """Lets the agent fall silent until its runs have ended or are suspended."""
+        other = FakeAgent("b", 2, self.clock)
+        last_seen_at = self.clock()
+        while self.clock() <= latest_run_end(last_seen_at):
+            self.deliver(other)
+            self.clock.advance(0.1)
+            self.scheduler.tick()
+
+    def test_tasks_of_a_suspended_agent_are_reassigned_when_it_reports_their_end(
+        self,
+    ) -> None:
+        """Guards against a second run before a resumed VM has stopped the first."""
+        job = self.accept(make_job(2))
+        first, second = (item.number for _, item in self.pop_assignments())
+        self.lose_contact()
+        self.assertEqual(self.pop_assignments(), [])
+        self.deliver(self.agent, open_assignments=[first, second])
+        self.assertEqual(self.pop_assignments(), [])
+        self.deliver(self.agent, (first, TaskStatus.DONE), (second, TaskStatus.LOST))
+        ((recipient, assignment),) = self.pop_assignments()
+        self.assertNotEqual(recipient, self.agent.address)
+        self.assertEqual(assignment.attempt, 2)
+        self.assertIsNone(job.result)
+
+    def test_tasks_of_a_silent_agent_are_reassigned_at_once_when_it_restarts(
+        self,
+    ) -> None:
+        self.accept(make_job(1))
+        self.pop_assignments()
+        self.lose_contact()
+        self.assertEqual(self.pop_assignments(), [])
+        self.deliver(FakeAgent("c", 1, self.clock))
+        self.assertEqual(len(self.pop_assignments()), 1)
+
+    def test_assignments_of_an_unreachable_agent_claim_no_capacity(self) -> None:
+        """Guards against refusals for load on targets that are not counted any more."""
+        self.accept(make_job(2))
+        numbers = [item.number for _, item in self.pop_assignments()]
+        claimed = self.scheduler.assignments.open.claimed["svc"]
+        self.assertEqual(claimed.cores, 2.0)
+        self.lose_contact()
+        self.assertEqual(claimed.cores, 0.0)
+        self.deliver(self.agent, open_assignments=numbers)
+        self.assertEqual(claimed.cores, 2.0)
+        self.deliver(self.agent, *((number, TaskStatus.DONE) for number in numbers))
+        self.assertEqual(claimed.cores, 0.0)
+
+    def test_stops_are_sent_to_a_suspended_agent_when_it_reports_again(self) -> None:
+        assignment = self.submit_and_disconnect()
+        self.lose_contact()
+        self.pop_stops()
+        self.deliver(self.agent, open_assignments=[assignment.number])
+        self.clock.advance(STOP_RESEND_INTERVAL_S)
+        self.scheduler.tick()
+        self.assertEqual(self.pop_stops(), [assignment.number])
+
     def test_tasks_are_reassigned_at_once_when_the_agent_restarts(self) -> None:
         self.accept(make_job(1))
         self.pop_assignments()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -172,6 +172,19 @@
     return _pause_processes(disruptions, rng.sample(handles, len(handles) // 2))
 
 
+def suspend_machine(disruptions: Disruptions, rng: random.Random) -> EndFault:
+    """Suspends an agent and its target, whose clock stands still, until the end."""
+    handle = rng.choice(disruptions.fleet.agents)
+    disruption = disruptions.start(handle.process.name, "suspension")
+    handle.suspend_machine()
+
+    def end() -> None:
+        handle.resume_machine()
+        disruption.ended_at = time.monotonic()
+
+    return end
+
+
 def _pause_processes(disruptions: Disruptions, handles: list[Process]) -> EndFault:
     paused = [disruptions.start(handle.process.name, "pause") for handle in handles]
     for handle in handles:
@@ -436,4 +449,5 @@
     "hold_links": hold_links,
     "reclaim_target": reclaim_target,
     "deadly_tasks": deadly_tasks,
+    "suspend_machine": suspend_machine,
 }
--- a/tests/standins/platform_fleet.py
+++ b/tests/standins/platform_fleet.py
@@ -73,6 +73,16 @@
     zone: str
     proxies: dict[str, FaultProxy]
 
+    def suspend_machine(self) -> None:
+        """Suspends the process together with its target."""
+        self.process.suspend()
+        self.target.suspend()
+
+    def resume_machine(self) -> None:
+        """Resumes both."""
+        self.target.resume()
+        self.process.resume()
+
 
 def version_path(version: int) -> str:
     """Returns the prefix of the route that only this configuration version has."""
--- a/tests/standins/platform_target.py
+++ b/tests/standins/platform_target.py
@@ -50,6 +50,7 @@
             the task runs.
         crashed_target: Whether it has crashed the target.
         is_deadly: Whether it runs until it crashes the target or is stopped.
+        suspended_s: How long it has been suspended with the target, in seconds.
     """
 
     task: str
@@ -61,6 +62,7 @@
     end_kind: str = ""
     crashed_target: bool = False
     is_deadly: bool = False
+    suspended_s: float = 0.0
 
 
 @dataclass(slots=True)
@@ -125,6 +127,8 @@
     Attributes:
         runs: Runs of all incarnations, in order of their start.
         is_down: Whether it has crashed and not restarted yet.
+        suspended_at: Since when it has been suspended with its machine, in seconds of
+            the monotonic clock; None if it is not.
         retained: Bodies of starts that have not taken effect yet.
         faults: Injected faults.
         state: State that the heartbeats report.
@@ -148,6 +152,7 @@
         self.changed = threading.Condition()
         self.stopped = threading.Event()
         self.is_down = False
+        self.suspended_at: float | None = None
         self._start_incarnation()
         self.server = StandinServer(self._handle, "127.0.0.1")
         self.address = self.server.address
@@ -164,6 +169,7 @@
 
     def __exit__(self, *_: object) -> None:
         self.stopped.set()
+        self.resume()
         for thread in self.threads:
             thread.join()
         self.server.__exit__()
@@ -174,6 +180,28 @@
             self._end_incarnation()
             self._start_incarnation()
 
+    def suspend(self) -> None:
+        """Suspends the target: its tasks, its clock, and its replies."""
+        with self.changed:
+            self.suspended_at = time.monotonic()
+
+    def resume(self) -> None:
+        """Resumes the suspended target, whose clock has not counted the time."""
+        with self.changed:
+            if self.suspended_at is None:
+                return
+            suspended_s = time.monotonic() - self.suspended_at
+            self.suspended_at = None
+            self.incarnation_started_at += suspended_s
+            for record in self.running.values():
+                record.suspended_s += suspended_s
+            self.changed.notify_all()
+
+    def _wait_until_resumed(self) -> None:
+        self.changed.wait_for(
+            lambda: self.suspended_at is None or self.stopped.is_set()
+        )
+
     def _end_incarnation(self) -> None:
         for record in self.running.values():
             record.ended_at = time.monotonic()
@@ -208,6 +236,8 @@
     def _start_incarnation(self) -> None:
         self.born = int(time.time() * MS_PER_S)
         self.incarnation_started_at = time.monotonic()
+        if self.suspended_at is not None:
+            self.suspended_at = self.incarnation_started_at
         self.clock_rate = self.faults.clock_rate
         self.sequence = 0
         self.lease_expires_at_ms = 0.0
@@ -224,13 +254,18 @@
     def _end_due_runs(self) -> None:
         while not self.stopped.wait(RUN_CHECK_INTERVAL_S):
             with self.changed:
+                if self.suspended_at is not None:
+                    continue
                 now = time.monotonic()
                 for record in list(self.running.values()):
                     if self._clock_ms() > self.lease_expires_at_ms:
                         self._end(record, "lapsed")
                     elif record.is_deadly:
                         continue
-                    elif now - record.started_at >= self.faults.run_s:
+                    elif (
+                        now - record.started_at - record.suspended_s
+                        >= self.faults.run_s
+                    ):
                         self._end(record, "failed" if self.faults.fail_all else "done")
 
     def _end(self, record: RunRecord, end_kind: str) -> None:
@@ -247,7 +282,7 @@
     def _send_heartbeats(self) -> None:
         pool = urllib3.PoolManager(retries=False)
         while not self.stopped.wait(HEARTBEAT_INTERVAL_S):
-            if self.is_down:
+            if self.is_down or self.suspended_at is not None:
                 continue
             self.sequence += 1
             state = self.state
@@ -292,6 +327,7 @@
             "/-/hold": self._handle_hold,
         }
         with self.changed:
+            self._wait_until_resumed()
             handle = routes.get(request.path)
             if handle is None:
                 return 404, {}
@@ -300,7 +336,9 @@
             expected = request.headers.get("expected-instance", self.identity.instance)
             if expected != self.identity.instance:
                 return 421, {}
-            return handle(request.body)
+            answer = handle(request.body)
+            self._wait_until_resumed()
+            return answer
 
     def _handle_start(self, body: dict[str, Any]) -> Answer:
         if self.faults.retain_starts:
@@ -321,6 +359,7 @@
 
     def _start_delayed(self, body: dict[str, Any]) -> None:
         with self.changed:
+            self._wait_until_resumed()
             self._start(body)
 
     def _start(self, body: dict[str, Any]) -> Answer:
