Entry: jobs of a silent entry wait for agents that may be suspended

An entry now waits for such a job, at most for the same 8 s, while an agent that it hears is silent, and 0.46 s longer for an agent that was silent and stops the runs of expired owners. Entries whose jobs are not known since an outage are waited for no longer than before.

Evidence: both new tests failed before (two tasks were started while the agent was silent). Not covered: an agent that the successor never heard, because it started later or the agent reports to other entries.

--- a/bench/announcements.py
+++ b/bench/announcements.py
@@ -47,6 +47,7 @@
         redial=lambda _link: True,
         list_entries=tuple,
         list_jobs=list,
+        has_silent_agent=lambda: False,
     )
     received = 0
     all_received = asyncio.Event()
--- a/src/jackdawkeel/scheduling/agent_views.py
+++ b/src/jackdawkeel/scheduling/agent_views.py
@@ -16,6 +16,7 @@
 from ..policy.suspects import find_suspects
 from ..policy.target_speed import find_kind
 from .crash_records import ExchangeProgress
+from .leases import LATEST_STOP_S
 from .leases import LINK_SILENCE_TIMEOUT_S
 from .leases import latest_run_end
 from .leases import latest_suspended_run_end
@@ -147,6 +148,8 @@
         replaced: Incarnations of agents that another process at their link address has
             replaced, oldest first.
         run_times: Run times learnt from the ends of runs.
+        stops_pending_until: Until when an agent that was silent may be stopping the
+            runs of owners whose leases have expired, in seconds of the clock.
     """
 
     def __init__(
@@ -167,6 +170,7 @@
         self.run_times = RunTimes(clock, log)
         self.suspects: dict[str, frozenset[str]] = {}
         self.summaries: dict[str, ServiceSummary] = {}
+        self.stops_pending_until = 0.0
         self.median = 1.0
         self.median_made_at = -math.inf
 
@@ -200,6 +204,8 @@
         if view is not None:
             if report.sent_at >= view.report.sent_at:
                 view.set_report(report)
+            if now > view.last_seen_at + USABLE_AGE_S:
+                self.stops_pending_until = now + LATEST_STOP_S
             view.last_seen_at = now
             if view.is_silent:
                 view.is_silent = False
@@ -270,6 +276,20 @@
             del self.unreachable[view.address.incarnation]
         return expired
 
+    def has_silent_agent(self) -> bool:
+        """Returns whether runs of an entry that has failed may go on at an agent.
+
+        Agents that are silent may be suspended with their VMs. Those that were silent
+        may not have stopped such runs yet.
+        """
+        now = self.clock()
+        oldest = now - USABLE_AGE_S
+        return (
+            now < self.stops_pending_until
+            or bool(self.unreachable)
+            or any(view.last_seen_at < oldest for view in self.views.values())
+        )
+
     def check_silence(self) -> None:
         """Logs agents that have become silent and replaces their connections."""
         now = self.clock()
--- a/src/jackdawkeel/scheduling/entry_peers.py
+++ b/src/jackdawkeel/scheduling/entry_peers.py
@@ -11,6 +11,7 @@
 from ..policy.announcement import choose_announcement_interval_s
 from .leases import LINK_SILENCE_TIMEOUT_S
 from .leases import latest_run_end
+from .leases import latest_suspended_run_end
 
 
 if TYPE_CHECKING:
@@ -55,12 +56,17 @@
 
     @property
     def may_run_jobs(self) -> bool:
-        """Whether runs of its jobs may not have ended.
+        """Whether runs of its jobs may not have ended on VMs that are not suspended.
 
         It may have reached its agents until its next announcement was due.
         """
         return self.silent_s <= latest_run_end(self.interval_s)
 
+    @property
+    def may_have_suspended_runs(self) -> bool:
+        """Whether runs of its jobs may go on when a suspended VM is resumed."""
+        return self.silent_s <= latest_suspended_run_end(self.interval_s)
+
     @property
     def is_link_silent(self) -> bool:
         """Whether an announcement of it is overdue."""
@@ -84,6 +90,7 @@
         redial: Callable[[str], bool],
         list_entries: Callable[[], Iterable[PeerAddress]],
         list_jobs: Callable[[], list[OpenJob]],
+        has_silent_agent: Callable[[], bool],
     ) -> None:
         """Creates the peers of an entry that has not received an announcement.
 
@@ -92,11 +99,14 @@
             redial: Replaces the connection to a link address; returns whether it did.
             list_entries: Returns the other entries that are registered in the store.
             list_jobs: Returns the open jobs of this entry, the oldest first.
+            has_silent_agent: Returns whether an agent may have runs of a silent entry
+                that go on when its VM is resumed.
         """
         self.send = send
         self.redial = redial
         self.list_entries = list_entries
         self.list_jobs = list_jobs
+        self.has_silent_agent = has_silent_agent
         self.peers: dict[str, EntryPeer] = {}
         self.links: dict[str, str] = {}
         self.out_of_touch_s = 0.0
@@ -134,7 +144,8 @@
         return [
             peer
             for peer in self.peers.values()
-            if peer.may_run_jobs and (job_id in peer.jobs or self._is_unknown(peer))
+            if self._may_run_announced(peer, job_id)
+            or (peer.may_run_jobs and self._is_unknown(peer))
         ]
 
     def find_owners(self, job_id: str) -> list[EntryPeer]:
@@ -142,7 +153,7 @@
         return [
             peer
             for peer in self.peers.values()
-            if peer.may_run_jobs and job_id in peer.jobs and peer.jobs[job_id].is_owned
+            if self._may_run_announced(peer, job_id) and peer.jobs[job_id].is_owned
         ]
 
     def forget_job(self, incarnation: str, job_id: str) -> None:
@@ -151,10 +162,20 @@
         if peer is not None:
             peer.jobs.pop(job_id, None)
 
-    def may_run(self, incarnation: str) -> bool:
-        """Returns whether runs of an entry's jobs may not have ended."""
+    def may_run(self, incarnation: str, job_id: str) -> bool:
+        """Returns whether runs of a job may not have ended that an entry may own."""
         peer = self.peers.get(incarnation)
-        return peer is not None and peer.may_run_jobs
+        if peer is None:
+            return False
+        return peer.may_run_jobs or self._may_run_announced(peer, job_id)
+
+    def _may_run_announced(self, peer: EntryPeer, job_id: str) -> bool:
+        """Returns whether a job that a peer has announced may have runs."""
+        if job_id not in peer.jobs:
+            return False
+        return peer.may_run_jobs or (
+            peer.may_have_suspended_runs and self.has_silent_agent()
+        )
 
     def list_recipients(self) -> list[PeerAddress]:
         """Returns the entries that receive announcements."""
--- a/src/jackdawkeel/scheduling/job_ownership.py
+++ b/src/jackdawkeel/scheduling/job_ownership.py
@@ -85,6 +85,7 @@
         send: Callable[[PeerAddress, Message], None],
         redial: Callable[[str], bool],
         list_entries: Callable[[], Iterable[PeerAddress]],
+        has_silent_agent: Callable[[], bool],
         jobs: Mapping[str, Job],
         ended_jobs: Mapping[str, Job],
         assignments: OpenAssignments,
@@ -99,6 +100,7 @@
             send: Sends a message to a process.
             redial: Replaces the connection to a link address; returns whether it did.
             list_entries: Returns the other entries that are registered in the store.
+            has_silent_agent: Returns whether the VM of an agent may be suspended.
             jobs: The open jobs of this entry, by id.
             ended_jobs: Jobs that have ended, by id.
             assignments: Open assignments of this entry.
@@ -117,6 +119,7 @@
             redial=redial,
             list_entries=list_entries,
             list_jobs=self._list_open,
+            has_silent_agent=has_silent_agent,
         )
         self.joined: dict[str, Job] = {}
         self.followed: dict[str, Job] = {}
@@ -293,7 +296,7 @@
         self.peers.advance(elapsed_s, is_in_touch=is_connected and not is_paused)
         for job in list(self.joined.values()):
             for incarnation in list(job.owners):
-                if not self.peers.may_run(incarnation):
+                if not self.peers.may_run(incarnation, job.spec.job_id):
                     # It may have run the job, also if it has not announced it.
                     job.has_run = True
                     self._release(job, incarnation, "silent")
--- a/src/jackdawkeel/scheduling/job_scheduler.py
+++ b/src/jackdawkeel/scheduling/job_scheduler.py
@@ -139,6 +139,7 @@
             send=send,
             redial=views.redial,
             list_entries=list_entries,
+            has_silent_agent=views.has_silent_agent,
             jobs=self.jobs,
             ended_jobs=self.ended_jobs,
             assignments=self.assignments.open,
--- a/src/jackdawkeel/scheduling/leases.py
+++ b/src/jackdawkeel/scheduling/leases.py
@@ -29,6 +29,8 @@
 MAX_SUSPENSION_S = 8.0
 # Time that a target needs to stop a task, including the calls.
 TASK_STOP_S = 0.15
+# Time after which a run that had to end has ended, also if its stop has no effect.
+LATEST_STOP_S = STOP_EFFECT_TIMEOUT_S * (1 + TARGET_CLOCK_DRIFT) + TASK_STOP_S
 # Three reports fit into OWNER_LEASE_S, so that two in a row may be lost.
 REPORT_INTERVAL_S = 0.2
 # Time after which a connection without messages is replaced.
--- a/tests/scheduling/test_job_ownership.py
+++ b/tests/scheduling/test_job_ownership.py
@@ -28,7 +28,9 @@
 from jackdawkeel.scheduling.job_ownership import FOLLOWER_EXPIRY_S
 from jackdawkeel.scheduling.job_ownership import MAX_REPLY_AGE_S
 from jackdawkeel.scheduling.job_scheduler import JobScheduler
+from jackdawkeel.scheduling.leases import LATEST_STOP_S
 from jackdawkeel.scheduling.leases import latest_run_end
+from jackdawkeel.scheduling.leases import latest_suspended_run_end
 from tests.fakes import FakeClock
 from tests.fakes import Outbox
 from tests.fakes import make_address
@@ -259,7 +261,7 @@
             self.run_for(ANNOUNCEMENT_INTERVAL_S / 5)
             self.assertNotIn(self.second.address.link, self.first.outbox.redialled)
         peers = ownership.peers
-        self.assertFalse(peers.may_run(self.second.address.incarnation))
+        self.assertFalse(peers.may_run(self.second.address.incarnation, JOB_ID))
         self.assertNotIn(self.second.address, peers.list_recipients())
         self.assertIn(successor, peers.list_recipients())
         self.first.is_paused = True
@@ -294,6 +296,40 @@
         self.run_for(ANNOUNCEMENT_INTERVAL_S + 3 * TICK_S)
         self.assertEqual(self.second.starts, 2)
 
+    def hear(self, agent: FakeAgent, seconds: float) -> None:
+        """Lets time pass in which the second entry hears another agent."""
+        for _ in range(round(seconds / TICK_S)):
+            self.second.scheduler.handle_report(agent.address, agent.report())
+            self.run_for(TICK_S)
+
+    def test_job_of_a_silent_owner_waits_for_agents_that_may_be_suspended(
+        self,
+    ) -> None:
+        """Guards against runs that go on beside those of the successor of an entry."""
+        suspended = FakeAgent("c", 200, self.clock)
+        self.submit(self.first)
+        self.hear(suspended, ANNOUNCEMENT_INTERVAL_S)
+        self.first.is_cut_off = self.first.is_paused = True
+        self.submit(self.second)
+        self.run_for(2 * OWNER_SILENCE_S)
+        self.assertEqual(self.second.starts, 0)
+        self.hear(suspended, TICK_S)
+        self.assertEqual(self.second.starts, 0)
+        self.hear(suspended, LATEST_STOP_S + TICK_S)
+        self.assertEqual(self.second.starts, 2)
+
+    def test_job_of_a_silent_owner_starts_when_no_suspension_lasts_longer(self) -> None:
+        failed = FakeAgent("c", 200, self.clock)
+        self.submit(self.first)
+        self.hear(failed, ANNOUNCEMENT_INTERVAL_S)
+        self.first.is_cut_off = self.first.is_paused = True
+        self.submit(self.second)
+        latest_s = latest_suspended_run_end(ANNOUNCEMENT_INTERVAL_S)
+        self.run_for(latest_s - ANNOUNCEMENT_INTERVAL_S - 2 * TICK_S)
+        self.assertEqual(self.second.starts, 0)
+        self.run_for(ANNOUNCEMENT_INTERVAL_S + 3 * TICK_S)
+        self.assertEqual(self.second.starts, 2)
+
     def test_pause_of_the_entry_does_not_count_as_silence_of_the_owner(self) -> None:
         self.submit(self.first)
         self.run_for(ANNOUNCEMENT_INTERVAL_S)
