Entry: log events about silent agents in their own module, gauge of unreachable agents

job_scheduler.py described an agent in two places. The gauge of agents has the state `unreachable`: those that get no tasks and whose open assignments wait for them.

--- a/src/jackdawkeel/scheduling/entry_node.py
+++ b/src/jackdawkeel/scheduling/entry_node.py
@@ -308,6 +308,8 @@
         usable = sum(view.report.target.accepting for view in views)
         metrics.set_gauge(GaugeName.AGENTS, len(self.views.views), "heard")
         metrics.set_gauge(GaugeName.AGENTS, usable, "usable")
+        unreachable = len(self.views.unreachable)
+        metrics.set_gauge(GaugeName.AGENTS, unreachable, "unreachable")
         metrics.set_gauge(GaugeName.REQUESTS_IN_FLIGHT, self.in_flight)
         metrics.set_gauge(GaugeName.JOBS, len(self.scheduler.jobs), "open")
         metrics.set_gauge(GaugeName.JOBS, len(self.scheduler.queue.jobs), "waiting")
--- a/src/jackdawkeel/scheduling/job_scheduler.py
+++ b/src/jackdawkeel/scheduling/job_scheduler.py
@@ -10,6 +10,8 @@
 from ..policy.target_speed import find_distance_factor
 from ..policy.waiting import would_end_too_late
 from .agent_connectivity import AgentConnectivity
+from .agent_events import record_lost
+from .agent_events import record_unreachable
 from .assignment_sender import AssignmentSender
 from .crash_records import CrashRecords
 from .job import Job
@@ -456,15 +458,8 @@
         """
         incarnation = view.address.incarnation
         lost = self.assignments.open.list_of_agent(incarnation)
-        self.log.record(
-            EventName.AGENT_LOST,
-            agent=incarnation,
-            node=view.report.target.node,
-            reason=reason,
-            successor=successor,
-            report_age_ms=round(MS_PER_S * (self.clock() - view.last_seen_at), 1),
-            orders=[assignment.number for assignment in lost],
-            jobs=sorted({assignment.job.spec.job_id for assignment in lost}),
+        record_lost(
+            self.log, view, lost, self.clock(), reason=reason, successor=successor
         )
         for assignment in lost:
             self.assignments.close(assignment)
@@ -475,21 +470,15 @@
                 self._apply_end(assignment.job, assignment.task, TaskStatus.LOST)
 
     def _handle_unreachable_agent(self, view: AgentView) -> None:
-        """Keeps the assignments of an agent whose VM may be suspended.
+        """Keeps the assignments of a silent agent open.
 
-        The suspended runs go on when the VM does, before their agent can stop them.
+        Its VM may be suspended. The runs go on when it is resumed, until their agent
+        has stopped them.
         """
         incarnation = view.address.incarnation
         kept = self.assignments.open.list_of_agent(incarnation)
         self.assignments.open.set_reachable(incarnation, is_reachable=False)
-        self.log.record(
-            EventName.AGENT_UNREACHABLE,
-            agent=incarnation,
-            node=view.report.target.node,
-            report_age_ms=round(MS_PER_S * (self.clock() - view.last_seen_at), 1),
-            orders=[assignment.number for assignment in kept],
-            jobs=sorted({assignment.job.spec.job_id for assignment in kept}),
-        )
+        record_unreachable(self.log, view, kept, self.clock())
 
     # End of jobs.
 
