--- a/tests/standins/platform_target.py
+++ b/tests/standins/platform_target.py
@@ -183,7 +183,8 @@
     def suspend(self) -> None:
         """Suspends the target: its tasks, its clock, and its replies."""
         with self.changed:
-            self.suspended_at = time.monotonic()
+            if self.suspended_at is None:
+                self.suspended_at = time.monotonic()
 
     def resume(self) -> None:
         """Resumes the suspended target, whose clock has not counted the time."""
