--- a/src/jackdawkeel/scheduling/leases.py
+++ b/src/jackdawkeel/scheduling/leases.py
@@ -51,5 +51,9 @@
 
 
 def latest_suspended_run_end(last_seen_at: float) -> float:
-    """Returns when the above holds also for an agent whose VM was suspended."""
+    """Returns when a silent agent can't run anything, also if its VM was suspended.
+
+    Args:
+        last_seen_at: As above.
+    """
     return latest_run_end(last_seen_at) + MAX_SUSPENSION_S
--- a/src/jackdawkeel/scheduling/running_clock.py
+++ b/src/jackdawkeel/scheduling/running_clock.py
@@ -16,9 +16,8 @@
 class RunningClock:
     """Measures time without pauses; it has to be read in every tick.
 
-    A suspended VM, or a process that is stopped with its peers, can't be told from a
-    process that is stopped alone. Times during which a peer on the same VM must have
-    been running are therefore measured with this clock.
+    A process can't tell whether it was stopped alone or its VM was suspended. It uses
+    this clock for times that another process on the VM measures with a steady clock.
 
     Attributes:
         paused_s: Length of all pauses, in seconds.
