Entry: a second suspension does not hide the runs that the first one kept

Callers would see tasks at work on two targets at once: the owner of a job has failed, the VM that runs its tasks is resumed, and is suspended again before its agent has stopped them. Their successor started them 0.46 s after the agent had reported, while the second silence is noticed only after 0.5 s. Found by reading; not seen on real processes.

Cause: the time after which the stops of a resumed agent count as done did not include the time in which another silence goes unnoticed. It was also too short for stops without effect: a lease that was granted before the suspension lasts up to TARGET_LEASE_S after it, not STOP_EFFECT_TIMEOUT_S.

The successor now waits for a lease, a stop, and the time in which a further silence is noticed: 1.17 s. A silence in this time extends the wait as the first one did.

--- a/src/jackdawkeel/scheduling/agent_views.py
+++ b/src/jackdawkeel/scheduling/agent_views.py
@@ -205,7 +205,9 @@
             if report.sent_at >= view.report.sent_at:
                 view.set_report(report)
             if now > view.last_seen_at + USABLE_AGE_S:
-                self.stops_pending_until = now + LATEST_STOP_S
+                # A further suspension, which interrupts the stops, is noticed until
+                # then.
+                self.stops_pending_until = now + LATEST_STOP_S + USABLE_AGE_S
             view.last_seen_at = now
             if view.is_silent:
                 view.is_silent = False
--- a/src/jackdawkeel/scheduling/leases.py
+++ b/src/jackdawkeel/scheduling/leases.py
@@ -29,8 +29,9 @@
 MAX_SUSPENSION_S = 8.0
 # Time that a target needs to stop a task, including the calls.
 TASK_STOP_S = 0.15
-# Time after which a run that had to end has ended, also if its stop has no effect.
-LATEST_STOP_S = STOP_EFFECT_TIMEOUT_S * (1 + TARGET_CLOCK_DRIFT) + TASK_STOP_S
+# Time after which the lease of a target has expired and its runs have ended, also if
+# their stops have no effect.
+LATEST_STOP_S = TARGET_LEASE_S * (1 + TARGET_CLOCK_DRIFT) + TASK_STOP_S
 # Three reports fit into OWNER_LEASE_S, so that two in a row may be lost.
 REPORT_INTERVAL_S = 0.2
 # Time after which a connection without messages is replaced.
@@ -46,8 +47,7 @@
         last_seen_at: When the owner last received a report that it could reply to, in
             seconds of its clock; the lease at the agent counts from an earlier time.
     """
-    target_lease_s = TARGET_LEASE_S * (1 + TARGET_CLOCK_DRIFT)
-    return last_seen_at + OWNER_LEASE_S + target_lease_s + TASK_STOP_S
+    return last_seen_at + OWNER_LEASE_S + LATEST_STOP_S
 
 
 def latest_suspended_run_end(last_seen_at: float) -> float:
