Agent: short pauses that repeat do not use up the lease of a target that stands still

Callers would see tasks at work on two targets at once, after a VM was suspended several times for less than 0.3 s each while the calls to its target failed. Named as open in the postmortem; found by reading, not seen on real processes.

Cause: the agent measures the lease of its target without its own pauses, but a pause counted only from 0.3 s on. Two of them use up the lease of 0.5 s by that clock, while the target's steady clock stands still in them.

The clock now reads the steady clock of the VM, which counts no suspension, however short.

Evidence: both new tests failed before (0 runs were left instead of 1), one for pauses of 0.25 s and one for suspensions of 0.12 s.

--- a/src/jackdawkeel/scheduling/agent_node.py
+++ b/src/jackdawkeel/scheduling/agent_node.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from ..clock import read_boot_clock
+from ..clock import read_running_clock
 from ..events import EventName
 from ..http_messages import TEXT_TYPE
 from ..http_messages import HttpResponse
@@ -81,7 +82,9 @@
         self.address = PeerAddress(log.incarnation, settings.dialled_link)
         self.metrics = Metrics({"availability_zone": settings.availability_zone})
         self.target = TargetState(settings.availability_zone, self.clock, log)
-        self.target_link = TargetLink(runtime, self.target, self.clock, log)
+        self.target_link = TargetLink(
+            runtime, self.target, self.clock, read_running_clock, log
+        )
         self.executor = TaskExecutor(
             target=self.target,
             clock=self.clock,
--- a/src/jackdawkeel/scheduling/target_link.py
+++ b/src/jackdawkeel/scheduling/target_link.py
@@ -112,13 +112,24 @@
         runtime: TargetRuntime,
         target: TargetState,
         clock: Clock,
+        steady_clock: Clock,
         log: EventLog,
     ) -> None:
+        """Creates a link whose threads start when its context is entered.
+
+        Args:
+            runtime: Calls the target.
+            target: The agent's knowledge about its target.
+            clock: Clock in seconds that includes the time that the machine was
+                suspended.
+            steady_clock: Clock in seconds that need not include it.
+            log: Event log.
+        """
         self.runtime = runtime
         self.target = target
         self.clock = clock
         self.log = log
-        self.running_clock = RunningClock(clock)
+        self.running_clock = RunningClock(clock, steady_clock)
         self.executor: TaskExecutor | None = None
         self.crashes = CrashWatch(target, clock, log, self._find_executor)
         self.acknowledged = 0
--- a/tests/scheduling/test_target_link.py
+++ b/tests/scheduling/test_target_link.py
@@ -116,12 +116,15 @@
 
     def setUp(self) -> None:
         self.clock = FakeClock()
+        self.suspended_s = 0.0
         self.target = TargetState(ZONE, self.clock, make_log())
         self.target.apply_report(make_report())
         self.target.apply_evacuations(frozenset(), 1)
         self.target.is_prepared = True
         self.runtime = FakeTarget()
-        self.link = TargetLink(self.runtime, self.target, self.clock, make_log())
+        self.link = TargetLink(
+            self.runtime, self.target, self.clock, self.steady_clock, make_log()
+        )
         self.executor = TaskExecutor(
             target=self.target,
             clock=self.clock,
@@ -132,6 +135,10 @@
         )
         self.link.executor = self.executor
 
+    def steady_clock(self) -> float:
+        """Returns the time without that in which the VM was suspended."""
+        return self.clock() - self.suspended_s
+
     def start(self, run: TaskRun, lease_until: float) -> None:
         """Starts a run on the target at once."""
         self.link.lease_until = max(self.link.lease_until, lease_until)
@@ -357,6 +364,32 @@
             self.clock.advance(TICK_S)
             self.link._handle_hold(call, TargetFailure.UNREACHABLE)
 
+    def fail_after_pauses(
+        self, pause_s: float, *, is_steady_clock_paused: bool
+    ) -> None:
+        """Lets a call fail after each of several pauses of the VM."""
+        for _ in range(6):
+            now = self.clock()
+            call = HoldCall(now, None, HOLD_INTERVAL_S)
+            self.clock.advance(pause_s)
+            if is_steady_clock_paused:
+                self.suspended_s += pause_s
+            self.link._handle_hold(call, TargetFailure.NO_ANSWER)
+
+    def test_runs_are_not_lost_in_short_pauses_that_repeat(self) -> None:
+        """Guards against a lease that expires in pauses in which the target stands."""
+        self.renew_lease()
+        self.assign(1)
+        self.fail_after_pauses(0.25, is_steady_clock_paused=False)
+        self.assertEqual(len(self.executor.by_run), 1)
+
+    def test_runs_are_not_lost_in_suspensions_that_no_tick_notices(self) -> None:
+        """Guards against the same in pauses that are shorter than two ticks."""
+        self.renew_lease()
+        self.assign(1)
+        self.fail_after_pauses(0.12, is_steady_clock_paused=True)
+        self.assertEqual(len(self.executor.by_run), 1)
+
 
 class RefusedRenewalTest(TargetLinkTestCase):
     """The target has crashed: it refuses connections, or does not reply."""
@@ -413,7 +446,9 @@
         self.clock = StrictClock()
         self.target = TargetState(ZONE, self.clock, make_log())
         self.runtime = FakeTarget()
-        self.link = TargetLink(self.runtime, self.target, self.clock, make_log())
+        self.link = TargetLink(
+            self.runtime, self.target, self.clock, self.clock, make_log()
+        )
         self.link.executor = self.executor = TaskExecutor(
             target=self.target,
             clock=self.clock,
--- a/tests/scheduling/test_task_executor.py
+++ b/tests/scheduling/test_task_executor.py
@@ -355,7 +355,7 @@
         self.assign(make_assignment(1), make_assignment(2))
         self.confirm(*self.started)
         lost_run, restarted_run = [run.run for run in self.started]
-        link = TargetLink(Mock(), self.target, self.clock, make_log())
+        link = TargetLink(Mock(), self.target, self.clock, self.clock, make_log())
         link.executor = self.executor
         self.target.born_ms = 1
         self.clock.advance(0.1)
