Agent: a lease requested right after a pause counts from its request

Callers waited longer for tasks whose target had crashed just after a pause of its agent. Found by reading.

Cause: a lease is converted to the clock without pauses by the pauses that the last tick had noticed. A start or a renewal that is sent after a pause, before the next tick, got an end that was late by the length of the pause.

The length is now measured when the lease is requested.

Evidence: the new test failed before (1 run was left, 0.6 s after a start under a lease of 0.5 s).

--- a/src/jackdawkeel/scheduling/running_clock.py
+++ b/src/jackdawkeel/scheduling/running_clock.py
@@ -44,3 +44,8 @@
         ran_s, self.steady_read_at = steady_now - self.steady_read_at, steady_now
         self.paused_s += elapsed_s if ran_s > MIN_PAUSE_S else elapsed_s - ran_s
         return now - self.paused_s
+
+    def measure_paused_s(self) -> float:
+        """Returns the length of all pauses until now, in seconds."""
+        self()
+        return self.paused_s
--- a/src/jackdawkeel/scheduling/target_link.py
+++ b/src/jackdawkeel/scheduling/target_link.py
@@ -181,7 +181,7 @@
 
     def start(self, run: TaskRun, lease_until: float) -> None:
         """Sends a start and passes its outcome to the executor."""
-        self._extend_lease(lease_until, self.running_clock.paused_s)
+        self._extend_lease(lease_until, self.running_clock.measure_paused_s())
         if not self.starts:
             self.loop.call_soon(self._send_starts)
         self.starts.append(StartCall(run, run.run, lease_until))
@@ -284,7 +284,7 @@
         try:
             now = self.clock()
             lease_until = self.choose_lease_end(now)
-            paused_s = self.running_clock.paused_s
+            paused_s = self.running_clock.measure_paused_s()
             call = HoldCall(now, lease_until, HOLD_WAIT_S, paused_s)
             self.hold_thread.submit(self._call_hold, call, self._handle_hold)
         except Exception:
--- a/tests/scheduling/test_target_link.py
+++ b/tests/scheduling/test_target_link.py
@@ -390,6 +390,17 @@
         self.fail_after_pauses(0.12, is_steady_clock_paused=True)
         self.assertEqual(len(self.executor.by_run), 1)
 
+    def test_a_lease_after_a_pause_counts_from_its_request(self) -> None:
+        """Guards against runs that are lost late by the length of an earlier pause."""
+        self.clock.advance(2.5)
+        run = self.assign(1)
+        self.link.lease_until = 0.0
+        self.link.start(run, self.clock() + TARGET_LEASE_S)
+        for _ in range(round(TARGET_LEASE_S / TICK_S) + 2):
+            self.link._handle_failure(TargetFailure.NO_ANSWER)
+            self.clock.advance(TICK_S)
+        self.assertEqual(len(self.executor.by_run), 0)
+
 
 class RefusedRenewalTest(TargetLinkTestCase):
     """The target has crashed: it refuses connections, or does not reply."""
