Entry: a successor learns of silent agents and entries that it has not heard

Callers would see tasks at work on two targets at once: an entry and the VM of an agent fail at the same time, the agent's VM only by a suspension, and the caller comes back to an entry that has not heard that agent, because the agent reports to others, or that has not heard the failed entry, because it has just started or is its restarted process.

Cause: whether an agent is silent, and which jobs a silent entry had, was known only to entries that had heard them themselves.

An announcement now states whether its sender hears a silent agent, and is sent at once when that becomes true. The first announcement to a process also names the entries that the sender no longer hears, with their jobs; the recipient treats them as if it had heard them. No job causes a message by this.

Left: a job that its entry had not announced before it failed, and a fleet in which all entries restart at once.

--- a/src/jackdawkeel/messages/ownership.py
+++ b/src/jackdawkeel/messages/ownership.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from .address import PeerAddress
+
 
 class OwnedState(StrEnum):
     """State of a job at the entry that is asked about it."""
@@ -39,16 +41,38 @@
     is_owned: bool
 
 
+class SilentEntry(msgspec.Struct, frozen=True, array_like=True):
+    """An entry that the sender no longer hears, and whose runs may not have ended.
+
+    Attributes:
+        address: Address of its process.
+        jobs: The jobs of its last announcement.
+        interval_s: The time between two of its announcements, in seconds.
+        silent_s: Time since its last message, in seconds.
+    """
+
+    address: PeerAddress
+    jobs: list[OpenJob]
+    interval_s: float
+    silent_s: float
+
+
 class OpenJobs(msgspec.Struct, frozen=True, array_like=True, tag=44):
     """Sent by an entry to all others at intervals.
 
     Attributes:
         jobs: The sender's jobs, the oldest first.
         interval_s: Time until the next announcement, in seconds.
+        has_silent_agent: Whether runs of an entry that has failed may go on at an agent
+            that reports to the sender.
+        silent_entries: What the recipient has missed; only in the first announcement to
+            it.
     """
 
     jobs: list[OpenJob]
     interval_s: float
+    has_silent_agent: bool = False
+    silent_entries: list[SilentEntry] = []
 
 
 class OwnerInquiry(msgspec.Struct, frozen=True, array_like=True, tag=45):
--- a/src/jackdawkeel/scheduling/entry_peers.py
+++ b/src/jackdawkeel/scheduling/entry_peers.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from ..messages.ownership import OpenJobs
+from ..messages.ownership import SilentEntry
 from ..policy.announcement import MIN_INTERVAL_S
 from ..policy.announcement import choose_announcement_interval_s
 from .leases import LINK_SILENCE_TIMEOUT_S
@@ -46,6 +47,9 @@
         interval_s: Time between two of its announcements.
         is_known: Whether its jobs are known; not after this entry was paused or cut
             off until the next announcement.
+        has_silent_agent: Whether one of the agents that report to it is silent, by its
+            last announcement.
+        is_heard: Whether it has announced its jobs itself.
     """
 
     address: PeerAddress
@@ -53,6 +57,8 @@
     silent_s: float = 0.0
     interval_s: float = 0.0
     is_known: bool = True
+    has_silent_agent: bool = False
+    is_heard: bool = True
 
     @property
     def may_run_jobs(self) -> bool:
@@ -68,8 +74,13 @@
         return self.silent_s <= latest_suspended_run_end(self.interval_s)
 
     @property
-    def is_link_silent(self) -> bool:
+    def is_overdue(self) -> bool:
         """Whether an announcement of it is overdue."""
+        return self.silent_s > self.interval_s
+
+    @property
+    def is_link_silent(self) -> bool:
+        """Whether one is overdue by so much that its connection may be lost."""
         return self.silent_s > self.interval_s + LINK_SILENCE_TIMEOUT_S
 
 
@@ -79,8 +90,10 @@
     Attributes:
         interval_s: Time between two announcements of this entry, in seconds.
         out_of_touch_s: For how long this entry has been paused or cut off, in seconds.
-        peers: The entries that have sent an announcement, by incarnation.
+        peers: The entries that have sent an announcement, or were named as silent by
+            one of them, by incarnation.
         links: Incarnation of the last process that announced from a link address.
+        has_announced_silence: Whether its last announcement named a silent agent.
     """
 
     def __init__(
@@ -112,6 +125,7 @@
         self.out_of_touch_s = 0.0
         self.interval_s = MIN_INTERVAL_S
         self.until_announcement_s = 0.0
+        self.has_announced_silence = False
 
     def record_contact(self, sender: PeerAddress) -> None:
         """Records that a message of an entry has arrived."""
@@ -121,16 +135,41 @@
 
     def record(self, sender: PeerAddress, message: OpenJobs) -> None:
         """Records the announcement of an entry."""
+        self.links[sender.link] = sender.incarnation
         peer = self.peers.get(sender.incarnation)
         if peer is None:
             peer = self.peers[sender.incarnation] = EntryPeer(sender)
             # It may have started a moment ago and not know any open job.
-            self.send(sender, self._make_announcement())
-        self.links[sender.link] = sender.incarnation
-        peer.interval_s = min(max(0.0, message.interval_s), MAX_INTERVAL_S)
-        announced = message.jobs[:MAX_ANNOUNCED_JOBS]
-        peer.jobs = {job.job_id: job for job in announced}
-        peer.is_known = True
+            self.send(sender, self._make_announcement(self._list_silent()))
+        peer.interval_s = _bound_interval(message.interval_s)
+        peer.jobs = _index_jobs(message.jobs)
+        peer.is_known = peer.is_heard = True
+        peer.has_silent_agent = message.has_silent_agent
+        for entry in message.silent_entries:
+            self._record_silent(entry)
+
+    def _list_silent(self) -> list[SilentEntry]:
+        """Returns the entries that are not heard and whose runs may not have ended."""
+        return [
+            SilentEntry(
+                peer.address, list(peer.jobs.values()), peer.interval_s, peer.silent_s
+            )
+            for peer in self.peers.values()
+            if peer.jobs
+            and peer.may_have_suspended_runs
+            and (peer.is_overdue or self._is_replaced(peer.address))
+        ]
+
+    def _record_silent(self, entry: SilentEntry) -> None:
+        """Records an entry that fell silent before this one has heard it."""
+        peer = self.peers.get(entry.address.incarnation)
+        if peer is None:
+            peer = self.peers[entry.address.incarnation] = EntryPeer(
+                entry.address, silent_s=max(0.0, entry.silent_s), is_heard=False
+            )
+        if not peer.is_heard:
+            peer.interval_s = _bound_interval(entry.interval_s)
+            peer.jobs |= _index_jobs(entry.jobs)
 
     def has_all_announcements(self) -> bool:
         """Returns whether every registered entry has announced its jobs or ended."""
@@ -174,12 +213,19 @@
         if job_id not in peer.jobs:
             return False
         return peer.may_run_jobs or (
-            peer.may_have_suspended_runs and self.has_silent_agent()
+            peer.may_have_suspended_runs and self._has_silent_agent()
+        )
+
+    def _has_silent_agent(self) -> bool:
+        """Returns whether an agent that reports to any entry may be suspended."""
+        return self.has_silent_agent() or any(
+            peer.has_silent_agent and peer.may_have_suspended_runs
+            for peer in self.peers.values()
         )
 
     def list_recipients(self) -> list[PeerAddress]:
         """Returns the entries that receive announcements."""
-        known = [peer.address for peer in self.peers.values()]
+        known = [peer.address for peer in self.peers.values() if peer.is_heard]
         recipients = dict.fromkeys([*self.list_entries(), *known])
         return [entry for entry in recipients if not self._is_replaced(entry)]
 
@@ -201,13 +247,19 @@
             self.out_of_touch_s += elapsed_s
             self._discard_knowledge()
         self.until_announcement_s -= elapsed_s
-        if self.until_announcement_s <= 0:
-            recipients = self.list_recipients()
-            self.interval_s = choose_announcement_interval_s(len(recipients))
-            self.until_announcement_s = self.interval_s
-            announcement = self._make_announcement()
-            for address in recipients:
-                self.send(address, announcement)
+        # Others may be about to take over a job whose runs are suspended.
+        is_urgent = not self.has_announced_silence and self.has_silent_agent()
+        if self.until_announcement_s <= 0 or is_urgent:
+            self._announce()
+
+    def _announce(self) -> None:
+        recipients = self.list_recipients()
+        self.interval_s = choose_announcement_interval_s(len(recipients))
+        self.until_announcement_s = self.interval_s
+        announcement = self._make_announcement()
+        self.has_announced_silence = announcement.has_silent_agent
+        for address in recipients:
+            self.send(address, announcement)
 
     def _discard_knowledge(self) -> None:
         """Treats others as unknown that may have accepted jobs in an own outage.
@@ -220,8 +272,7 @@
             return
         is_long = self.out_of_touch_s >= latest_run_end(0.0)
         for peer in self.peers.values():
-            is_replaced = self._is_replaced(peer.address)
-            if (peer.may_run_jobs or is_long) and not is_replaced:
+            if (peer.may_run_jobs or is_long) and not self._is_gone(peer):
                 peer.is_known = False
                 peer.silent_s = 0.0
 
@@ -229,14 +280,21 @@
         return not peer.is_known and not self._is_replaced(peer.address)
 
     def _replace_silent_link(self, peer: EntryPeer) -> None:
-        if not peer.is_link_silent or self._is_replaced(peer.address):
+        if not peer.is_link_silent or self._is_gone(peer):
             return
         if self.redial(peer.address.link):
             # The next message asks the other side to replace its connection, too.
             self.send(peer.address, self._make_announcement())
 
-    def _make_announcement(self) -> OpenJobs:
-        return OpenJobs(self.list_jobs()[:MAX_ANNOUNCED_JOBS], self.interval_s)
+    def _make_announcement(
+        self, silent_entries: Iterable[SilentEntry] = ()
+    ) -> OpenJobs:
+        return OpenJobs(
+            self.list_jobs()[:MAX_ANNOUNCED_JOBS],
+            self.interval_s,
+            self.has_silent_agent(),
+            list(silent_entries),
+        )
 
     def _is_replaced(self, address: PeerAddress) -> bool:
         """Returns whether the process has ended, because another one uses its link.
@@ -246,7 +304,19 @@
         incarnation = self.links.get(address.link, address.incarnation)
         return incarnation != address.incarnation
 
+    def _is_gone(self, peer: EntryPeer) -> bool:
+        """Returns whether nothing is expected of a peer any more."""
+        return self._is_replaced(peer.address) or not peer.is_heard
+
     def _remove(self, peer: EntryPeer) -> None:
         del self.peers[peer.address.incarnation]
         if not self._is_replaced(peer.address):
             self.links.pop(peer.address.link, None)
+
+
+def _bound_interval(interval_s: float) -> float:
+    return min(max(0.0, interval_s), MAX_INTERVAL_S)
+
+
+def _index_jobs(jobs: list[OpenJob]) -> dict[str, OpenJob]:
+    return {job.job_id: job for job in jobs[:MAX_ANNOUNCED_JOBS]}
--- a/tests/scheduling/test_job_ownership.py
+++ b/tests/scheduling/test_job_ownership.py
@@ -30,6 +30,7 @@
 from jackdawkeel.scheduling.job_ownership import MAX_REPLY_AGE_S
 from jackdawkeel.scheduling.job_scheduler import JobScheduler
 from jackdawkeel.scheduling.leases import LATEST_STOP_S
+from jackdawkeel.scheduling.leases import MAX_SUSPENSION_S
 from jackdawkeel.scheduling.leases import latest_run_end
 from jackdawkeel.scheduling.leases import latest_suspended_run_end
 from tests.fakes import FakeClock
@@ -334,6 +335,87 @@
             self.run_for(OWNER_SILENCE_S)
             self.assertEqual(self.second.starts, 0)
 
+    def fail_with_suspended_agent(self) -> None:
+        """Lets the first entry fail, and an agent that only the third one hears."""
+        self.submit(self.first)
+        agent = FakeAgent("c", 200, self.clock)
+        self.third.scheduler.handle_report(agent.address, agent.report())
+        self.run_for(ANNOUNCEMENT_INTERVAL_S)
+        self.third.scheduler.handle_report(agent.address, agent.report())
+        self.first.is_cut_off = self.first.is_paused = True
+
+    def start_entry(self, port: int) -> Entry:
+        """Starts an entry at a port, which may be that of an earlier one."""
+        started = Entry("c", port, self.clock)
+        started.others = [self.second, self.third]
+        self.entries.append(started)
+        self.run_for(2 * TICK_S)
+        return started
+
+    def assert_waits_for_suspended_agent(self, successor: Entry) -> None:
+        """Checks that the job starts there only when no suspension lasts longer."""
+        self.submit(successor)
+        self.run_for(MAX_SUSPENSION_S)
+        self.assertEqual(successor.starts, 0)
+        self.run_for(OWNER_SILENCE_S + 1.0)
+        self.assertEqual(successor.starts, 2)
+
+    def test_job_of_a_silent_owner_waits_for_agents_that_only_others_hear(
+        self,
+    ) -> None:
+        """Guards against a successor that does not hear the suspended agent."""
+        self.fail_with_suspended_agent()
+        self.assert_waits_for_suspended_agent(self.second)
+
+    def test_entry_that_has_just_started_waits_for_agents_that_may_be_suspended(
+        self,
+    ) -> None:
+        """Guards against a successor that has not heard the owner of the job."""
+        self.fail_with_suspended_agent()
+        self.run_for(1.0)
+        self.assert_waits_for_suspended_agent(self.start_entry(9))
+
+    def test_entry_that_was_restarted_waits_for_runs_of_its_predecessor(self) -> None:
+        """Guards against a successor that has forgotten the jobs that it had."""
+        self.fail_with_suspended_agent()
+        self.run_for(2 * TICK_S)
+        successor = self.start_entry(1)
+        self.assert_waits_for_suspended_agent(successor)
+        peers = successor.scheduler.ownership.peers
+        self.assertNotIn(self.first.address, peers.list_recipients())
+        self.assertNotIn(self.first.address.link, successor.outbox.redialled)
+
+    def test_entry_that_was_introduced_as_silent_is_heard_when_it_announces(
+        self,
+    ) -> None:
+        """Guards against an entry that is left alone because others did not hear it."""
+        self.submit(self.first)
+        self.run_for(ANNOUNCEMENT_INTERVAL_S)
+        self.first.is_cut_off = True
+        self.run_for(1.0)
+        started = self.start_entry(9)
+        peer = started.scheduler.ownership.peers.peers[self.first.address.incarnation]
+        self.assertEqual(list(peer.jobs), [JOB_ID])
+        self.first.is_cut_off = False
+        self.first.others.append(started)
+        self.first.end_all()
+        self.run_for(ANNOUNCEMENT_INTERVAL_S + TICK_S)
+        self.assertEqual(peer.jobs, {})
+        recipients = started.scheduler.ownership.peers.list_recipients()
+        self.assertIn(self.first.address, recipients)
+
+    def test_an_agent_that_falls_silent_is_announced_at_once(self) -> None:
+        """Guards against a takeover between two announcements."""
+        agent = FakeAgent("c", 200, self.clock)
+        self.third.scheduler.handle_report(agent.address, agent.report())
+        peers = self.second.scheduler.ownership.peers.peers
+        peer = peers[self.third.address.incarnation]
+        self.third.scheduler.ownership.peers.until_announcement_s = 10.0
+        self.run_for(USABLE_AGE_S)
+        self.assertFalse(peer.has_silent_agent)
+        self.run_for(TICK_S)
+        self.assertTrue(peer.has_silent_agent)
+
     def test_job_of_a_silent_owner_starts_when_no_suspension_lasts_longer(self) -> None:
         failed = FakeAgent("c", 200, self.clock)
         self.submit(self.first)
