Test: takeovers of jobs whose runs are on a suspended VM, on real processes

The entry of a job is killed while the VM that runs its tasks is suspended, and the caller comes back through another entry, or through the restarted one.

--- a/tests/integration/test_platform.py
+++ b/tests/integration/test_platform.py
@@ -10,6 +10,7 @@
 
 from tests.standins.platform_fleet import HOST
 from tests.standins.platform_fleet import PREFIX
+from tests.standins.platform_fleet import AgentHandle
 from tests.standins.platform_fleet import PlatformFleet
 from tests.standins.processes import read_events
 from tests.standins.processes import wait_until
@@ -153,6 +154,45 @@
         self.threads[0].join()
         self.assertEqual(self.statuses[make_job_id(1)], 200, self.fleet.log_tail())
 
+    def lose_entry_and_suspend_machine(self) -> AgentHandle:
+        """Kills the entry of a job, and suspends a machine that runs some of it."""
+        self.set_run_time(4.0)
+        self.submit_in_background(make_job_id(1), count=6)
+        self.wait_for_runs(make_job_id(1), 6)
+        # The other entry receives an announcement of the job in this time.
+        time.sleep(0.5)
+        agent = self.fleet.agents[0]
+        self.assertTrue(agent.target.runs)
+        agent.suspend_machine()
+        self.fleet.entries[0].process.kill()
+        return agent
+
+    def assert_runs_after_resumption(self, agent: AgentHandle, entry: int) -> None:
+        """Resubmits the job through an entry, which must complete it."""
+        time.sleep(RESUBMISSION_DELAY_S)
+        self.set_run_time(0.3)
+        self.submit_in_background(make_job_id(1), entry, count=6)
+        time.sleep(SUSPENSION_S)
+        agent.resume_machine()
+        for thread in self.threads:
+            thread.join()
+        self.assertEqual(self.statuses[make_job_id(1)], 200, self.fleet.log_tail())
+
+    def test_another_entry_waits_for_runs_of_a_killed_one_on_a_suspended_machine(
+        self,
+    ) -> None:
+        """Guards against a takeover beside runs whose leases have not expired."""
+        agent = self.lose_entry_and_suspend_machine()
+        self.assert_runs_after_resumption(agent, entry=1)
+
+    def test_a_restarted_entry_waits_for_its_earlier_runs_on_a_suspended_machine(
+        self,
+    ) -> None:
+        """Guards against a process that does not know the jobs of the one before."""
+        agent = self.lose_entry_and_suspend_machine()
+        self.fleet.entries[0].process.restart()
+        self.assert_runs_after_resumption(agent, entry=0)
+
     def test_tasks_end_when_the_caller_disconnects(self) -> None:
         self.set_run_time(30.0)
         with self.assertRaises(urllib3.exceptions.HTTPError):
