Entry: a process that starts waits for entries that only others do not hear

A caller could have its job run at two entries at once: one of them has just started and has heard from a second that a third is silent, which runs the job.

Cause: an entry that was named as silent counted as one that had announced its jobs, so the new process did not wait the 0.1 s for its own announcement.

Only entries that have announced their jobs themselves count now.

Evidence: the new test failed before (no announcement was missing).

--- a/src/jackdawkeel/scheduling/entry_peers.py
+++ b/src/jackdawkeel/scheduling/entry_peers.py
@@ -173,9 +173,9 @@
 
     def has_all_announcements(self) -> bool:
         """Returns whether every registered entry has announced its jobs or ended."""
+        heard = {peer.address for peer in self.peers.values() if peer.is_heard}
         return all(
-            entry.incarnation in self.peers or self._is_replaced(entry)
-            for entry in self.list_entries()
+            entry in heard or self._is_replaced(entry) for entry in self.list_entries()
         )
 
     def find_holders(self, job_id: str) -> list[EntryPeer]:
--- a/tests/scheduling/test_job_ownership.py
+++ b/tests/scheduling/test_job_ownership.py
@@ -14,6 +14,7 @@
 from jackdawkeel.messages.ownership import OwnedState
 from jackdawkeel.messages.ownership import OwnerInquiry
 from jackdawkeel.messages.ownership import OwnerReply
+from jackdawkeel.messages.ownership import SilentEntry
 from jackdawkeel.messages.scheduling import StartTasks
 from jackdawkeel.messages.scheduling import StopTasks
 from jackdawkeel.messages.scheduling import TaskStatus
@@ -404,6 +405,22 @@
         recipients = started.scheduler.ownership.peers.list_recipients()
         self.assertIn(self.first.address, recipients)
 
+    def test_entry_that_has_just_started_waits_for_entries_that_others_do_not_hear(
+        self,
+    ) -> None:
+        """Guards against outdated jobs of an entry that only one other can't reach."""
+        peers = self.third.scheduler.ownership.peers
+        peers.list_entries = lambda: [self.first.address]
+        row = OpenJob(JOB_ID, 1, is_owned=True)
+        silent = SilentEntry(self.first.address, [row], ANNOUNCEMENT_INTERVAL_S, 0.3)
+        peers.peers.clear()
+        peers.links.clear()
+        missed = OpenJobs([], ANNOUNCEMENT_INTERVAL_S, silent_entries=[silent])
+        peers.record(self.second.address, missed)
+        self.assertFalse(peers.has_all_announcements())
+        peers.record(self.first.address, OpenJobs([], ANNOUNCEMENT_INTERVAL_S))
+        self.assertTrue(peers.has_all_announcements())
+
     def test_an_agent_that_falls_silent_is_announced_at_once(self) -> None:
         """Guards against a takeover between two announcements."""
         agent = FakeAgent("c", 200, self.clock)
