Entry: an entry that was cut off learns of the jobs that it has missed

Callers would see tasks at work on two targets at once: an entry returns from an outage, in which another one has accepted a job; that one fails, the VM with the job's runs is suspended, and the caller comes back through the first entry. Not seen on real processes.

Cause: entries told only new processes which entries are silent.

Entries now tell this also to a peer that returns from a silence, and for 2 s after its start or return, because an entry that fails in that time may not have announced its jobs to it. What the recipient has heard later itself counts more.

The new test of the takeover failed before, too (2 != 0 starts).

--- a/src/jackdawkeel/messages/ownership.py
+++ b/src/jackdawkeel/messages/ownership.py
@@ -65,8 +65,8 @@
         interval_s: Time until the next announcement, in seconds.
         has_silent_agent: Whether runs of an entry that has failed may go on at an agent
             that reports to the sender.
-        silent_entries: What the recipient has missed; only in the first announcement to
-            it.
+        silent_entries: What the recipient may have missed; only for some time after it
+            has started or has been silent itself.
     """
 
     jobs: list[OpenJob]
--- a/src/jackdawkeel/scheduling/entry_peers.py
+++ b/src/jackdawkeel/scheduling/entry_peers.py
@@ -29,6 +29,9 @@
 UNKNOWN_OUTAGE_S = 0.3
 # Bounds the interval that another entry may state.
 MAX_INTERVAL_S = 10.0
+# Time for which an entry that has started, or has been silent, is told of others that
+# fall silent; later it has received their own announcements.
+CATCH_UP_S = 2.0
 # Silence after which an entry receives no more announcements unless it is listed.
 PEER_EXPIRY_S = 30.0
 # Jobs that are announced, the oldest first; more are not protected.
@@ -44,6 +47,7 @@
         jobs: Its open jobs, by id.
         silent_s: Time since its last message, without the times in which this entry
             was paused or cut off.
+        heard_s: Time since it was heard for the first time, or again after a silence.
         interval_s: Time between two of its announcements.
         is_known: Whether its jobs are known; not after this entry was paused or cut
             off until the next announcement.
@@ -55,6 +59,7 @@
     address: PeerAddress
     jobs: dict[str, OpenJob] = field(default_factory=dict)
     silent_s: float = 0.0
+    heard_s: float = 0.0
     interval_s: float = 0.0
     is_known: bool = True
     has_silent_agent: bool = False
@@ -130,8 +135,12 @@
     def record_contact(self, sender: PeerAddress) -> None:
         """Records that a message of an entry has arrived."""
         peer = self.peers.get(sender.incarnation)
-        if peer is not None:
-            peer.silent_s = 0.0
+        if peer is None:
+            return
+        if peer.is_link_silent:
+            peer.heard_s = 0.0
+            self._send_missed(sender)
+        peer.silent_s = 0.0
 
     def record(self, sender: PeerAddress, message: OpenJobs) -> None:
         """Records the announcement of an entry."""
@@ -139,8 +148,7 @@
         peer = self.peers.get(sender.incarnation)
         if peer is None:
             peer = self.peers[sender.incarnation] = EntryPeer(sender)
-            # It may have started a moment ago and not know any open job.
-            self.send(sender, self._make_announcement(self._list_silent()))
+            self._send_missed(sender)
         peer.interval_s = _bound_interval(message.interval_s)
         peer.jobs = _index_jobs(message.jobs)
         peer.is_known = peer.is_heard = True
@@ -148,6 +156,10 @@
         for entry in message.silent_entries:
             self._record_silent(entry)
 
+    def _send_missed(self, address: PeerAddress) -> None:
+        """Informs an entry that has started a moment ago, or has been cut off."""
+        self.send(address, self._make_announcement(self._list_silent()))
+
     def _list_silent(self) -> list[SilentEntry]:
         """Returns the entries that are not heard and whose runs may not have ended."""
         return [
@@ -161,15 +173,20 @@
         ]
 
     def _record_silent(self, entry: SilentEntry) -> None:
-        """Records an entry that fell silent before this one has heard it."""
+        """Records what another entry has heard of one that is silent now."""
+        silent_s = max(0.0, entry.silent_s)
         peer = self.peers.get(entry.address.incarnation)
         if peer is None:
             peer = self.peers[entry.address.incarnation] = EntryPeer(
-                entry.address, silent_s=max(0.0, entry.silent_s), is_heard=False
+                entry.address,
+                silent_s=silent_s,
+                interval_s=_bound_interval(entry.interval_s),
+                is_heard=False,
             )
-        if not peer.is_heard:
-            peer.interval_s = _bound_interval(entry.interval_s)
+        is_newer = peer.is_heard and peer.is_known and peer.silent_s <= silent_s
+        if not is_newer:
             peer.jobs |= _index_jobs(entry.jobs)
+            peer.silent_s = min(peer.silent_s, silent_s)
 
     def has_all_announcements(self) -> bool:
         """Returns whether every registered entry has announced its jobs or ended."""
@@ -240,6 +257,7 @@
             self.out_of_touch_s = 0.0
             for peer in list(self.peers.values()):
                 peer.silent_s += elapsed_s
+                peer.heard_s += elapsed_s
                 self._replace_silent_link(peer)
                 if peer.silent_s > PEER_EXPIRY_S:
                     self._remove(peer)
@@ -258,8 +276,12 @@
         self.until_announcement_s = self.interval_s
         announcement = self._make_announcement()
         self.has_announced_silence = announcement.has_silent_agent
+        silent = self._list_silent()
+        catch_up = self._make_announcement(silent) if silent else announcement
         for address in recipients:
-            self.send(address, announcement)
+            peer = self.peers.get(address.incarnation)
+            is_behind = peer is not None and peer.heard_s < CATCH_UP_S
+            self.send(address, catch_up if is_behind else announcement)
 
     def _discard_knowledge(self) -> None:
         """Treats others as unknown that may have accepted jobs in an own outage.
--- a/tests/scheduling/test_job_ownership.py
+++ b/tests/scheduling/test_job_ownership.py
@@ -341,7 +341,7 @@
         self.submit(self.first)
         agent = FakeAgent("c", 200, self.clock)
         self.third.scheduler.handle_report(agent.address, agent.report())
-        self.run_for(ANNOUNCEMENT_INTERVAL_S)
+        self.run_for(ANNOUNCEMENT_INTERVAL_S + TICK_S)
         self.third.scheduler.handle_report(agent.address, agent.report())
         self.first.is_cut_off = self.first.is_paused = True
 
@@ -386,6 +386,17 @@
         self.assertNotIn(self.first.address, peers.list_recipients())
         self.assertNotIn(self.first.address.link, successor.outbox.redialled)
 
+    def test_entry_that_was_cut_off_waits_for_agents_that_may_be_suspended(
+        self,
+    ) -> None:
+        """Guards against a successor that has missed the job of the failed entry."""
+        self.second.is_cut_off = True
+        self.run_for(OWNER_SILENCE_S)
+        self.fail_with_suspended_agent()
+        self.second.is_cut_off = False
+        self.run_for(ANNOUNCEMENT_INTERVAL_S + TICK_S)
+        self.assert_waits_for_suspended_agent(self.second)
+
     def test_entry_that_was_introduced_as_silent_is_heard_when_it_announces(
         self,
     ) -> None:
