Entry: names and a guard clause in the knowledge about silent entries

No change of behaviour: the check whether an entry knows better than the one that tells it returns early, and two attributes of nearly the same name are told apart.

--- a/src/jackdawkeel/scheduling/entry_peers.py
+++ b/src/jackdawkeel/scheduling/entry_peers.py
@@ -183,10 +183,11 @@
                 interval_s=_bound_interval(entry.interval_s),
                 is_heard=False,
             )
-        is_newer = peer.is_heard and peer.is_known and peer.silent_s <= silent_s
-        if not is_newer:
-            peer.jobs |= _index_jobs(entry.jobs)
-            peer.silent_s = min(peer.silent_s, silent_s)
+        is_up_to_date = peer.is_heard and peer.is_known and peer.silent_s <= silent_s
+        if is_up_to_date:
+            return
+        peer.jobs |= _index_jobs(entry.jobs)
+        peer.silent_s = min(peer.silent_s, silent_s)
 
     def has_all_announcements(self) -> bool:
         """Returns whether every registered entry has announced its jobs or ended."""
@@ -230,10 +231,10 @@
         if job_id not in peer.jobs:
             return False
         return peer.may_run_jobs or (
-            peer.may_have_suspended_runs and self._has_silent_agent()
+            peer.may_have_suspended_runs and self._is_any_agent_silent()
         )
 
-    def _has_silent_agent(self) -> bool:
+    def _is_any_agent_silent(self) -> bool:
         """Returns whether an agent that reports to any entry may be suspended."""
         return self.has_silent_agent() or any(
             peer.has_silent_agent and peer.may_have_suspended_runs
