--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -75,12 +75,14 @@
         process: The entry's process.
         host: IP address of its link.
         caller: HTTP client of the entry.
+        link: Address on which it listens for other processes.
         proxy: Proxy in front of its link; None if the fleet has no proxies.
     """
 
     process: ManagedProcess
     host: str
     caller: Caller
+    link: str
     proxy: FaultProxy | None
 
 
@@ -94,6 +96,7 @@
         slots: Slots of each target.
         proxied: Whether peers connect to each link through a ``FaultProxy``.
         services: Services of each target; the first ticket configures only ``SERVICE``.
+        entry_settings: Environment variables of the entries.
     """
 
     def __init__(
@@ -104,6 +107,7 @@
         slots: int = 8,
         proxied: bool = False,
         services: str = SERVICE,
+        entry_settings: dict[str, str] | None = None,
     ) -> None:
         self.zones = [f"west-{index + 1}" for index in range(zones)]
         self.agents_per_zone = agents_per_zone
@@ -111,6 +115,7 @@
         self.slots = slots
         self.proxied = proxied
         self.services = services
+        self.entry_settings = entry_settings or {}
         self.agents: list[AgentProcess] = []
         self.entries: list[EntryProcess] = []
         self.processes: list[ManagedProcess] = []
@@ -138,8 +143,10 @@
             self.print_log_tails()
         self.stack.close()
 
-    def _run(self, name: str, *arguments: str) -> ManagedProcess:
-        process = ManagedProcess(name, list(arguments), self.folder)
+    def _run(
+        self, name: str, *arguments: str, settings: dict[str, str] | None = None
+    ) -> ManagedProcess:
+        process = ManagedProcess(name, list(arguments), self.folder, settings)
         self.stack.enter_context(process)
         self.processes.append(process)
         return process
@@ -195,9 +202,10 @@
                 *("jackdawkeel", "entry", "--listen", listen, "--link", link),
                 *("--advertise", advertised, "--store", self.store_url),
                 *("--availability-zone", self.zones[index % len(self.zones)]),
+                settings=self.entry_settings,
             )
             caller = Caller(f"http://{listen}")
-            self.entries.append(EntryProcess(process, host, caller, proxy))
+            self.entries.append(EntryProcess(process, host, caller, link, proxy))
 
     def _open_proxy(self, host: str, link: str) -> tuple[FaultProxy | None, str]:
         if not self.proxied:
--- a/tests/standins/platform_fleet.py
+++ b/tests/standins/platform_fleet.py
@@ -63,6 +63,7 @@
     Attributes:
         process: The process.
         target: Target that the agent serves.
+        heartbeats: Address that receives the heartbeats of the target.
         zone: Availability zone of the agent.
         proxies: Proxies by connection: ``link``, ``target`` and ``store``; empty if
             the fleet has no proxies.
@@ -70,6 +71,7 @@
 
     process: ManagedProcess
     target: PlatformTargetStandin
+    heartbeats: str
     zone: str
     proxies: dict[str, FaultProxy]
 
@@ -97,12 +99,18 @@
         agents: Number of agents.
         proxied: Whether connections to entries, links, the store and targets go
             through a ``FaultProxy``.
+        settings: Further settings of all processes.
     """
 
     def __init__(
-        self, entries: int = 2, agents: int = 3, proxied: bool = False
+        self,
+        entries: int = 2,
+        agents: int = 3,
+        proxied: bool = False,
+        settings: dict[str, str] | None = None,
     ) -> None:
         self.proxied = proxied
+        self.settings = settings or {}
         self.entry_count = entries
         self.agent_count = agents
         self.entries: list[EntryHandle] = []
@@ -291,7 +299,7 @@
         process = self._start_process(
             stack, "agent", index, host, extra_settings, advertised_addresses["link"]
         )
-        return AgentHandle(process, target, zone, proxies)
+        return AgentHandle(process, target, admin, zone, proxies)
 
     def _open_proxies(
         self, stack: ExitStack, host: str, upstreams: dict[str, str]
@@ -334,7 +342,7 @@
             "bounds.retransmitMs": "1300",
         }
         path = self.folder / f"{role}-{index}.conf"
-        pairs = (settings | extra_settings).items()
+        pairs = (settings | self.settings | extra_settings).items()
         path.write_text("".join(f"{name}={value}\n" for name, value in pairs))
         return stack.enter_context(
             ManagedProcess(
