HTTP: requests are read whole, within limits, before a thread gets them

What callers saw: a client that sent a request line, header line, chunk size, chunk extension or trailer without end ended the process; 200 clients that sent a byte now and then kept all 160 threads, and the two of the readiness check; a request behind one with trailers was answered 400; of a request with two lengths, a second one was made.

Cause: cheroot parses a message while it arrives, on the thread that answers it. Its limit on heads is off by default, its reader of chunks limits only what is inside a chunk, what it refuses or leaves unread is parsed as the next request, and its time-out is for each read.

Change: connections/message_reader.py splits the received bytes into whole messages, with a limit for each part, and refuses ambiguous lengths. connections/intake.py receives and sends for all connections on the selector's thread; a thread of the server gets whole messages only. Time limits are for a whole message and a whole answer. A refusal is a JSON answer of the usual form, after which the connection ends. Refusals are counted by cause and logged at most once in 5 s. cheroot still parses heads, with its own limit set.

Why it works: nothing reads a message before its size is known to be within the limits, and no thread waits for a client.

--- a/src/jackdawkeel/entry/daemon.py
+++ b/src/jackdawkeel/entry/daemon.py
@@ -8,6 +8,10 @@
 
 from ..answer import answer_error
 from ..clock import read_boot_clock
+from ..connections.limits import ListenerLimits
+from ..connections.refusals import REPORT_INTERVAL_S
+from ..connections.refusals import RefusalCounts
+from ..connections.refusals import RefusalLog
 from ..controllers.configuration import ConfigurationController
 from ..controllers.job_keys import SharedLease
 from ..controllers.known_keys import KnownKeysController
@@ -17,6 +21,7 @@
 from ..events import EventName
 from ..http_messages import HttpResponse
 from ..job_id import mint_incarnation
+from ..job_request import MAX_READ_BYTES
 from ..link.nng import NNG_TRANSPORT
 from ..link.node import LinkNode
 from ..logs import EventLog
@@ -95,6 +100,8 @@
         self.store_threads = ThreadPoolExecutor(STORE_CALL_THREADS, "store-call")
         self.sync = self._make_sync()
         self.key_lease = SharedLease()
+        self.refusals = RefusalCounts()
+        self.refusal_log = RefusalLog(self.refusals, log)
         self.requests_in_flight = 0
         self.draining = False
         self.rejecting_requests = False
@@ -190,6 +197,8 @@
             host=self.settings.listen_host,
             port=self.settings.listen_port,
             threads=self.settings.threads,
+            limits=ListenerLimits(MAX_READ_BYTES),
+            refusals=self.refusals,
             handle=self.handle_http,
         )
         with self.store, self.node, self.sync:
@@ -201,6 +210,11 @@
                 asyncio.create_task(
                     run_periodically(SLOW_TICK_INTERVAL_S, self.tick_slowly, self.log)
                 ),
+                asyncio.create_task(
+                    run_periodically(
+                        REPORT_INTERVAL_S, self.refusal_log.report, self.log
+                    )
+                ),
             ]
             self.log.record(EventName.READY, listen=self.settings.listen_port)
             await self.stopped.wait()
--- a/src/jackdawkeel/entry/http_server.py
+++ b/src/jackdawkeel/entry/http_server.py
@@ -13,6 +13,7 @@
 
 from ..answer import answer_error
 from ..answer import encode_answer
+from ..connections.limits import ListenerLimits
 from ..errors import ERROR_TABLE
 from ..errors import DispatchError
 from ..errors import ErrorKind
@@ -20,7 +21,6 @@
 from ..http_messages import MS_PER_S
 from ..http_messages import HttpRequest
 from ..http_messages import HttpResponse
-from ..job_request import MAX_BODY_BYTES
 from ..wsgi_server import SOCKET_ENVIRON_KEY
 from ..wsgi_server import WsgiServer
 
@@ -29,14 +29,13 @@
     from collections.abc import Callable
     from collections.abc import Sequence
 
+    from ..connections.refusals import RefusalCounts
     from ..setting_values import Address
 
 
-# Bodies over MAX_BODY_BYTES are still read up to this size, so that the refusal is
-# an answer in the usual format.
-MAX_READ_BYTES = 2 * MAX_BODY_BYTES
 # Additional listeners serve readiness checks and metrics, about one request a second.
 ADDITIONAL_LISTENER_THREADS = 2
+ADDITIONAL_LISTENER_BODY_BYTES = 64 * 1024
 
 
 class HttpServer:
@@ -48,6 +47,8 @@
         host: str,
         port: int,
         threads: int,
+        limits: ListenerLimits,
+        refusals: RefusalCounts,
         handle: Callable[[HttpRequest], HttpResponse],
         additional_addresses: Sequence[Address] = (),
     ) -> None:
@@ -59,15 +60,21 @@
             host: IP to listen on.
             port: Port to listen on.
             threads: Number of requests that are handled concurrently.
+            limits: Limits of the messages and connections of callers.
+            refusals: Counts the messages that are refused and connections ended.
             handle: Answers a request; called on the server's threads.
             additional_addresses: Further addresses to listen on, each with
                 ``ADDITIONAL_LISTENER_THREADS`` threads.
         """
         self.handle = handle
-        self.servers = [self._make_server(host, port, threads)]
+        self.refusals = refusals
+        self.servers = [self._make_server(host, port, threads, limits)]
         for address in additional_addresses:
             server = self._make_server(
-                address.host, address.port, ADDITIONAL_LISTENER_THREADS
+                address.host,
+                address.port,
+                ADDITIONAL_LISTENER_THREADS,
+                ListenerLimits(ADDITIONAL_LISTENER_BODY_BYTES),
             )
             self.servers.append(server)
 
@@ -92,13 +99,16 @@
             server.start()
         return self
 
-    def _make_server(self, host: str, port: int, threads: int) -> WsgiServer:
+    def _make_server(
+        self, host: str, port: int, threads: int, limits: ListenerLimits
+    ) -> WsgiServer:
         return WsgiServer(
             host=host,
             port=port,
             threads=threads,
-            max_body_bytes=MAX_READ_BYTES,
+            limits=limits,
             application=cherrypy.tree,
+            refusals=self.refusals,
         )
 
     def __exit__(self, *_: object) -> None:
--- a/src/jackdawkeel/entry/metrics_report.py
+++ b/src/jackdawkeel/entry/metrics_report.py
@@ -19,6 +19,7 @@
     metrics = entry.metrics
     node = entry.node
     count_messages(metrics, node)
+    metrics.replace_counts(CounterName.CLIENT_REFUSALS, entry.refusals.read())
     metrics.replace_counts(CounterName.ENVELOPES_SENT, _count_envelopes(entry))
     received = {entry.address.incarnation: node.envelopes_received}
     metrics.replace_counts(CounterName.ENVELOPES_RECEIVED, received)
--- a/src/jackdawkeel/errors.py
+++ b/src/jackdawkeel/errors.py
@@ -27,6 +27,8 @@
     NOT_SUBMITTED = "not_submitted"
     NO_SUCH_TICKET = "no_such_ticket"
     BODY_TOO_LARGE = "body_too_large"
+    HEAD_TOO_LARGE = "head_too_large"
+    REQUEST_TIMEOUT = "request_timeout"
     NO_SUCH_QUEUE = "no_such_queue"
     NO_SUCH_JOB = "no_such_job"
     UNSUPPORTED = "unsupported"
@@ -82,6 +84,8 @@
     ErrorKind.NOT_SUBMITTED: ErrorProperties(Outcome.UNKNOWN, 404, final=False),
     ErrorKind.NO_SUCH_TICKET: ErrorProperties(Outcome.NOT_RUN, 404),
     ErrorKind.BODY_TOO_LARGE: ErrorProperties(Outcome.NOT_RUN, 413),
+    ErrorKind.HEAD_TOO_LARGE: ErrorProperties(Outcome.NOT_RUN, 431),
+    ErrorKind.REQUEST_TIMEOUT: ErrorProperties(Outcome.NOT_RUN, 408),
     ErrorKind.NO_SUCH_QUEUE: ErrorProperties(Outcome.NOT_RUN, 404),
     ErrorKind.NO_SUCH_JOB: ErrorProperties(Outcome.NOT_RUN, 410),
     ErrorKind.UNSUPPORTED: ErrorProperties(Outcome.NOT_RUN, 503),
--- a/src/jackdawkeel/events.py
+++ b/src/jackdawkeel/events.py
@@ -38,6 +38,7 @@
     AGENT_LEAVING = "agent_leaving"
     AGENT_UNREACHABLE = "agent_unreachable"
     AGENT_LOST = "agent_lost"
+    CLIENTS_REFUSED = "clients_refused"
     CALLER_DISCONNECTED = "caller_disconnected"
     CONNECTIVITY_RESTORED = "connectivity_restored"
     TARGET_EJECTED = "target_ejected"
--- a/src/jackdawkeel/job_request.py
+++ b/src/jackdawkeel/job_request.py
@@ -17,6 +17,8 @@
 
 MAX_TASKS = 240
 MAX_BODY_BYTES = 8 * 1024 * 1024
+# Larger bodies are refused while they are received.
+MAX_READ_BYTES = 2 * MAX_BODY_BYTES
 MAX_DEADLINE_MS = 3_600_000
 DEFAULT_DEADLINE_MS = 60_000
 MAX_NAME_LENGTH = 100
--- a/src/jackdawkeel/metrics.py
+++ b/src/jackdawkeel/metrics.py
@@ -31,6 +31,7 @@
 
     HTTP_REQUESTS = "http_requests"
     ANSWERS = "answers"
+    CLIENT_REFUSALS = "client_refusals"
     MESSAGES_SENT = "messages_sent"
     MESSAGES_RECEIVED = "messages_received"
     MESSAGES_DROPPED = "messages_dropped"
@@ -82,6 +83,7 @@
 DESCRIPTIONS: dict[StrEnum, Description] = {
     CounterName.HTTP_REQUESTS: Description("Requests of callers.", "route"),
     CounterName.ANSWERS: Description("Answers to callers.", "outcome"),
+    CounterName.CLIENT_REFUSALS: Description("Messages and connections.", "cause"),
     CounterName.MESSAGES_SENT: Description("Messages sent to processes.", "type"),
     CounterName.MESSAGES_RECEIVED: Description("Messages from processes.", "type"),
     CounterName.MESSAGES_DROPPED: Description("Messages dropped.", "reason"),
--- a/src/jackdawkeel/scheduling/agent_http.py
+++ b/src/jackdawkeel/scheduling/agent_http.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
+from ..connections.limits import ListenerLimits
 from ..http_messages import HttpRequest
 from ..http_messages import HttpResponse
 from ..wsgi_server import WsgiServer
@@ -18,6 +19,7 @@
     from collections.abc import Callable
     from collections.abc import Iterable
 
+    from ..connections.refusals import RefusalCounts
     from ..setting_values import Address
 
 
@@ -30,21 +32,26 @@
     """Passes every request to one handler, whatever its path."""
 
     def __init__(
-        self, address: Address, handle: Callable[[HttpRequest], HttpResponse]
+        self,
+        address: Address,
+        handle: Callable[[HttpRequest], HttpResponse],
+        refusals: RefusalCounts,
     ) -> None:
         """Creates the server; it listens once started.
 
         Args:
             address: Address to listen on.
             handle: Answers a request; called on the threads of the server.
+            refusals: Counts the messages that are refused and connections ended.
         """
         self.handle = handle
         super().__init__(
             host=address.host,
             port=address.port,
             threads=THREADS,
-            max_body_bytes=MAX_BODY_BYTES,
+            limits=ListenerLimits(MAX_BODY_BYTES),
             application=self._respond,
+            refusals=refusals,
         )
 
     def _respond(
--- a/src/jackdawkeel/scheduling/agent_node.py
+++ b/src/jackdawkeel/scheduling/agent_node.py
@@ -8,6 +8,9 @@
 
 from ..clock import read_boot_clock
 from ..clock import read_running_clock
+from ..connections.refusals import REPORT_INTERVAL_S
+from ..connections.refusals import RefusalCounts
+from ..connections.refusals import RefusalLog
 from ..events import EventName
 from ..http_messages import TEXT_TYPE
 from ..http_messages import HttpResponse
@@ -119,6 +122,7 @@
             store, self.operators, log, self._apply_evacuations
         )
         self.discovery = EntryDiscovery(store, settings, log, self.reports.add_entries)
+        self.refusals = RefusalCounts()
         self.changed_owners: dict[str, Owner] = {}
         self.stopped = asyncio.Event()
 
@@ -200,6 +204,7 @@
     def _answer_metrics(self) -> HttpResponse:
         metrics = self.metrics
         count_messages(metrics, self.node)
+        metrics.replace_counts(CounterName.CLIENT_REFUSALS, self.refusals.read())
         metrics.replace_counts(CounterName.TASKS, self.executor.counts)
         metrics.replace_counts(CounterName.TASK_STOPS, self.executor.stop_counts)
         return HttpResponse(200, metrics.render_text().encode(), TEXT_TYPE)
@@ -217,7 +222,7 @@
         assert heartbeats is not None, "an agent requires an address for heartbeats"
         metrics = Address(self.settings.host, self.metrics_port)
         servers = [
-            AgentHttpServer(address, self.handle_http)
+            AgentHttpServer(address, self.handle_http, self.refusals)
             for address in (heartbeats, metrics)
         ]
         resources = (
@@ -237,6 +242,13 @@
                     IDLE_LINK_CHECK_INTERVAL_S, self.node.close_idle_links, self.log
                 )
             )
+            refusals = asyncio.create_task(
+                run_periodically(
+                    REPORT_INTERVAL_S,
+                    RefusalLog(self.refusals, self.log).report,
+                    self.log,
+                )
+            )
             self.log.record(EventName.READY, listen=heartbeats.port)
             await self.stopped.wait()
             await self._drain()
@@ -245,6 +257,7 @@
                 await self.loop.run_in_executor(None, server.stop)
             self.next_tick.cancel()
             idle_links.cancel()
+            refusals.cancel()
 
     def _tick_forever(self) -> None:
         # A coroutine that sleeps takes two iterations of the event loop for each tick.
--- a/src/jackdawkeel/scheduling/entry_node.py
+++ b/src/jackdawkeel/scheduling/entry_node.py
@@ -9,12 +9,17 @@
 from typing import TYPE_CHECKING
 
 from ..clock import read_boot_clock
+from ..connections.limits import ListenerLimits
+from ..connections.refusals import REPORT_INTERVAL_S
+from ..connections.refusals import RefusalCounts
+from ..connections.refusals import RefusalLog
 from ..entry.http_server import HttpServer
 from ..errors import DispatchError
 from ..errors import ErrorKind
 from ..events import EventName
 from ..http_messages import TEXT_TYPE
 from ..http_messages import HttpResponse
+from ..job_request import MAX_READ_BYTES
 from ..link.message_counts import count_messages
 from ..link.node import MAX_REDIAL_PAUSE_S
 from ..link.node import LinkNode
@@ -135,6 +140,7 @@
         )
         self.follower = StoreFollower(store, self.operators, log, self.trigger.plan)
         self.registration = Registration(store, self.address, log)
+        self.refusals = RefusalCounts()
         self.in_flight = 0
         self.is_listening = False
         self.is_draining = False
@@ -317,6 +323,7 @@
         version = 0 if configuration is None else configuration.version
         metrics.set_gauge(GaugeName.CONFIGURATION_REVISION, version)
         count_messages(metrics, self.node)
+        metrics.replace_counts(CounterName.CLIENT_REFUSALS, self.refusals.read())
         held = self.scheduler.assignments.held_total
         metrics.replace_counts(CounterName.TASKS_HELD, held)
         self.scheduler.outcomes.export(metrics)
@@ -342,6 +349,8 @@
             host=callers.host,
             port=callers.port,
             threads=CALLER_THREADS,
+            limits=ListenerLimits(MAX_READ_BYTES),
+            refusals=self.refusals,
             handle=self.handle_http,
             additional_addresses=extra_addresses,
         )
@@ -369,6 +378,13 @@
                         IDLE_LINK_CHECK_INTERVAL_S, self.node.close_idle_links, self.log
                     )
                 ),
+                asyncio.create_task(
+                    run_periodically(
+                        REPORT_INTERVAL_S,
+                        RefusalLog(self.refusals, self.log).report,
+                        self.log,
+                    )
+                ),
             ]
             self.is_listening = True
             self.log.record(EventName.READY, listen=callers.port)
--- a/src/jackdawkeel/wsgi_server.py
+++ b/src/jackdawkeel/wsgi_server.py
@@ -10,6 +10,9 @@
 
 from cheroot import wsgi
 
+from .connections.intake import ConnectionIntake
+from .connections.limits import IDLE_TIMEOUT_S
+from .connections.limits import MAX_HEAD_BYTES
 from .errors import StartError
 
 
@@ -17,12 +20,15 @@
     from collections.abc import Callable
     from collections.abc import Iterable
 
+    from .connections.client_connection import ClientConnection
+    from .connections.limits import ListenerLimits
+    from .connections.refusals import RefusalCounts
+
     WsgiApplication = Callable[[dict[str, Any], Callable[..., object]], Iterable[bytes]]
 
 
 SOCKET_ENVIRON_KEY = "jackdawkeel.socket"
 LISTEN_BACKLOG = 1024
-SOCKET_TIMEOUT_S = 30
 WAKE_TIMEOUT_S = 0.2
 # Idle time before a probe, and between probes: a peer that has closed the connection
 # replies with a reset, even if its own was lost.
@@ -40,8 +46,9 @@
         host: str,
         port: int,
         threads: int,
-        max_body_bytes: int,
+        limits: ListenerLimits,
         application: WsgiApplication,
+        refusals: RefusalCounts,
     ) -> None:
         """Creates the server, which listens once it is started.
 
@@ -49,20 +56,24 @@
             host: IP address to listen on.
             port: Port to listen on.
             threads: Number of threads that handle requests.
-            max_body_bytes: Size of the largest request body that is read.
+            limits: Limits of messages and connections.
             application: WSGI application, called on the server's threads. Its environ
                 has the socket of the connection under ``SOCKET_ENVIRON_KEY``.
+            refusals: Counts the messages that are refused and connections ended.
         """
         self.address = f"{host}:{port}"
-        self.server = wsgi.Server(
+        self.server = _Server(
             (host, port),
             application,
             numthreads=threads,
             request_queue_size=LISTEN_BACKLOG,
-            timeout=SOCKET_TIMEOUT_S,
+            timeout=IDLE_TIMEOUT_S,
         )
         self.server.gateway = _SocketGateway
-        self.server.max_request_body_size = max_body_bytes
+        self.server.max_request_header_size = MAX_HEAD_BYTES
+        self.server.max_request_body_size = limits.max_body_bytes
+        self.server.limits = limits
+        self.server.refusals = refusals
 
     def start(self) -> None:
         """Starts to listen and to serve requests on a thread.
@@ -97,11 +108,29 @@
     listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, MAX_UNANSWERED_PROBES)
 
 
+class _Server(wsgi.Server):
+    """A server whose threads get only complete messages."""
+
+    limits: ListenerLimits
+    refusals: RefusalCounts
+    _connections: ConnectionIntake
+
+    def prepare(self) -> None:
+        """Listens, and replaces the connection manager."""
+        super().prepare()
+        self._connections.close()
+        self._connections = ConnectionIntake(self, self.limits, self.refusals)
+
+    def put_conn(self, conn: ClientConnection) -> None:
+        """Passes a connection with its answer to the intake, also during a stop."""
+        self._connections.put(conn)
+
+
 class _SocketGateway(wsgi.Gateway_10):
-    """Adds the socket of the connection to the WSGI environ."""
+    """Adds the connection of the request to the WSGI environ."""
 
     def get_environ(self) -> dict[str, object]:  # type: ignore[override]
-        """Returns the WSGI environ, including the socket."""
+        """Returns the WSGI environ, including what belongs to the connection."""
         environment: dict[str, object] = super().get_environ()  # type: ignore[no-untyped-call]
         environment[SOCKET_ENVIRON_KEY] = self.req.conn.socket
         return environment
--- /dev/null
+++ b/tests/connections/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the connections of HTTP clients."""
--- a/tests/test_wsgi_server.py
+++ b/tests/test_wsgi_server.py
@@ -11,6 +11,8 @@
 
 import urllib3
 
+from jackdawkeel.connections.limits import ListenerLimits
+from jackdawkeel.connections.refusals import RefusalCounts
 from jackdawkeel.errors import StartError
 from jackdawkeel.wsgi_server import SOCKET_ENVIRON_KEY
 from jackdawkeel.wsgi_server import WsgiServer
@@ -39,8 +41,9 @@
             host=host,
             port=int(port),
             threads=2,
-            max_body_bytes=100,
+            limits=ListenerLimits(100),
             application=self.respond,
+            refusals=RefusalCounts(),
         )
         self.pool = urllib3.PoolManager(retries=False, timeout=WAIT_S)
 
