HTTP: the connections of each listener are limited by the descriptors

What callers saw: 600 idle connections to any address took 620 descriptors of the 500 in the settings.

Cause: every connection was accepted, and none gave way to another one.

Change: callers get a quarter of the descriptors in the settings, without 200 for files; readiness, metrics and heartbeats 64 each. Beyond that the connection gives way that has waited longest, first one without a request, last one whose answers have been taken (policy/connection_choice.py). A request that has no place is answered entry_busy, 504: it has started nothing, but an earlier one with its id may be running.

--- a/src/jackdawkeel/connections/intake.py
+++ b/src/jackdawkeel/connections/intake.py
@@ -33,6 +33,8 @@
 
 
 RECEIVE_BYTES = 64 * 1024
+# Time after which a listener is checked that has no room for a connection.
+PAUSE_POLL_INTERVAL_S = 0.02
 # Pause after an error of accept, such as a lack of descriptors.
 ACCEPT_RETRY_DELAY_S = 0.05
 STOP_POLL_INTERVAL_S = 0.01
@@ -40,6 +42,9 @@
 STOP_SEND_TIMEOUT_S = 1.0
 
 TIMED_OUT = DispatchError(ErrorKind.REQUEST_TIMEOUT, "the message took too long")
+OUT_OF_CONNECTIONS = DispatchError(
+    ErrorKind.ENTRY_BUSY, "there are too many connections"
+)
 
 
 class ConnectionIntake:
@@ -63,6 +68,7 @@
         self.receive_buffer = bytearray(RECEIVE_BYTES)
         self.is_serving = False
         self.is_stopping = False
+        self.is_paused = False
         self.lock = Lock()
         self.listener: socket.socket = server.socket
         self.listener.setblocking(False)
@@ -81,7 +87,8 @@
         self.is_serving = True
         try:
             while not self.is_stopping:
-                for key, _ in self.selector.select(expiration_interval):
+                wait_s = self._limit_wait(expiration_interval)
+                for key, _ in self.selector.select(wait_s):
                     if key.data is None:
                         self._accept()
                     else:
@@ -124,13 +131,18 @@
     # Events of connections.
 
     def _accept(self) -> None:
+        if not self._has_room():
+            self._pause()
+            return
         try:
             accepted, address = self.listener.accept()
         except (BlockingIOError, ConnectionAbortedError):
             return
         except OSError as error:
-            # Without a free descriptor the listener stays readable.
+            # Closing a connection releases a descriptor for the next attempt. Without
+            # one the listener stays readable.
             self.server.error_log(f"accept failed: {error}", level=logging.WARNING)
+            self._end_oldest()
             time.sleep(ACCEPT_RETRY_DELAY_S)
             return
         accepted.setblocking(False)
@@ -238,6 +250,45 @@
         connection.refuse(cause, error)
         self._guard(connection, self._continue)
 
+    # Limits that all connections share; only on the selector's thread.
+
+    def _has_room(self) -> bool:
+        """Returns whether another connection may be held; one may give way to it."""
+        if len(self.connections) < self.limits.max_connections:
+            return True
+        return self._end_oldest()
+
+    def _end_oldest(self) -> bool:
+        """Ends the connection that gives way to a new one; returns whether one did."""
+        oldest = self.waiting.find_oldest()
+        if oldest is None:
+            return False
+        if self.waiting.find_phase(oldest) is ConnectionPhase.RECEIVING:
+            self._refuse(oldest, RefusalCause.CONNECTIONS, OUT_OF_CONNECTIONS)
+        else:
+            self.refusals.count(RefusalCause.CONNECTIONS)
+        self._end(oldest)
+        return True
+
+    def _pause(self) -> None:
+        """Leaves new connections to the system while threads handle all that are held.
+
+        Callers that wait long for answers have only a part of the connections, so
+        others become free soon.
+        """
+        self.is_paused = True
+        self.selector.unregister(self.listener)
+
+    def _limit_wait(self, seconds: float) -> float:
+        """Returns how long to wait for events; accepts connections again."""
+        if not self.is_paused:
+            return seconds
+        if len(self.connections) < self.limits.max_connections or self.waiting.phases:
+            self.is_paused = False
+            self.selector.register(self.listener, selectors.EVENT_READ)
+            return seconds
+        return PAUSE_POLL_INTERVAL_S
+
     # What a connection waits for, and for which event.
 
     def _wait_for_message(self, connection: ClientConnection) -> None:
--- a/src/jackdawkeel/connections/limits.py
+++ b/src/jackdawkeel/connections/limits.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import resource
 from dataclasses import dataclass
 
 
 KIB = 1024
+MIB = 1024 * KIB
 
 # Request line and header fields of one message.
 MAX_HEAD_BYTES = 32 * KIB
@@ -25,13 +27,76 @@
 LINGER_TIMEOUT_S = 1
 MAX_LINGER_BYTES = 256 * KIB
 
+# Used where the settings don't give the memory and descriptors of the machine.
+DEFAULT_MEMORY_BYTES = 1024 * MIB
+MAX_DEFAULT_DESCRIPTORS = 4096
+
+# Descriptors of files, and the shares of the others that callers and accepted links
+# get; the rest is for outgoing links, the store, targets and the other listeners.
+FILE_DESCRIPTORS = 200
+CALLER_SHARE = 0.25
+MIN_CALLER_CONNECTIONS = 16
+# Heartbeats, readiness checks and metrics come a few times a second.
+MAX_INTERNAL_CONNECTIONS = 64
+
+
+@dataclass(frozen=True, slots=True)
+class MachineLimits:
+    """What one process may use.
+
+    Attributes:
+        memory_bytes: Resident memory.
+        descriptors: Open descriptors.
+    """
+
+    memory_bytes: int
+    descriptors: int
+
 
 @dataclass(frozen=True, slots=True)
 class ListenerLimits:
     """Limits of one listening address.
 
     Attributes:
+        max_connections: Connections that are held.
         max_body_bytes: Size of the largest body that is read.
     """
 
+    max_connections: int
     max_body_bytes: int
+
+
+def read_machine_limits() -> MachineLimits:
+    """Returns the limits of a process whose settings give none."""
+    soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    descriptors = MAX_DEFAULT_DESCRIPTORS
+    if soft_limit != resource.RLIM_INFINITY:
+        descriptors = min(descriptors, soft_limit)
+    return MachineLimits(DEFAULT_MEMORY_BYTES, descriptors)
+
+
+def limit_callers(machine: MachineLimits, max_body_bytes: int) -> ListenerLimits:
+    """Returns the limits of the address for callers.
+
+    Args:
+        machine: Limits of the process.
+        max_body_bytes: Size of the largest body that is read.
+    """
+    shared = _count_shared_descriptors(machine)
+    return ListenerLimits(
+        max_connections=max(MIN_CALLER_CONNECTIONS, int(shared * CALLER_SHARE)),
+        max_body_bytes=max_body_bytes,
+    )
+
+
+def limit_internal(max_body_bytes: int) -> ListenerLimits:
+    """Returns the limits of an address for checks, metrics or heartbeats.
+
+    Args:
+        max_body_bytes: Size of the largest body that is read.
+    """
+    return ListenerLimits(MAX_INTERNAL_CONNECTIONS, max_body_bytes)
+
+
+def _count_shared_descriptors(machine: MachineLimits) -> int:
+    return max(0, machine.descriptors - FILE_DESCRIPTORS)
--- a/src/jackdawkeel/connections/waiting_connections.py
+++ b/src/jackdawkeel/connections/waiting_connections.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from ..policy.connection_choice import ConnectionPhase
+from ..policy.connection_choice import choose_oldest
 from .limits import ANSWER_TIMEOUT_S
 from .limits import IDLE_TIMEOUT_S
 from .limits import LINGER_TIMEOUT_S
@@ -81,3 +82,8 @@
                         break
                     expired.append(connection)
         return expired
+
+    def find_oldest(self) -> ClientConnection | None:
+        """Returns the connection that gives way to a new one, or None."""
+        with self.lock:
+            return choose_oldest(self.by_phase)
--- a/src/jackdawkeel/console/commands/entry.py
+++ b/src/jackdawkeel/console/commands/entry.py
@@ -18,6 +18,8 @@
     store: str | None = None,
     availability_zone: str | None = None,
     threads: str | None = None,
+    memory_mb: str | None = None,
+    max_descriptors: str | None = None,
 ) -> int:
     """Runs an entry until it is signalled to stop; returns the exit code.
 
@@ -31,6 +33,8 @@
         "store": store,
         "availability_zone": availability_zone,
         "threads": threads,
+        "memory_mb": memory_mb,
+        "max_descriptors": max_descriptors,
     }
     settings = require_settings(read_entry_settings(flags, os.environ))
 
--- a/src/jackdawkeel/entry/daemon.py
+++ b/src/jackdawkeel/entry/daemon.py
@@ -8,7 +8,7 @@
 
 from ..answer import answer_error
 from ..clock import read_boot_clock
-from ..connections.limits import ListenerLimits
+from ..connections.limits import limit_callers
 from ..connections.refusals import REPORT_INTERVAL_S
 from ..connections.refusals import RefusalCounts
 from ..connections.refusals import RefusalLog
@@ -100,6 +100,7 @@
         self.store_threads = ThreadPoolExecutor(STORE_CALL_THREADS, "store-call")
         self.sync = self._make_sync()
         self.key_lease = SharedLease()
+        self.caller_limits = limit_callers(settings.machine, MAX_READ_BYTES)
         self.refusals = RefusalCounts()
         self.refusal_log = RefusalLog(self.refusals, log)
         self.requests_in_flight = 0
@@ -197,7 +198,7 @@
             host=self.settings.listen_host,
             port=self.settings.listen_port,
             threads=self.settings.threads,
-            limits=ListenerLimits(MAX_READ_BYTES),
+            limits=self.caller_limits,
             refusals=self.refusals,
             handle=self.handle_http,
         )
--- a/src/jackdawkeel/entry/http_server.py
+++ b/src/jackdawkeel/entry/http_server.py
@@ -13,7 +13,7 @@
 
 from ..answer import answer_error
 from ..answer import encode_answer
-from ..connections.limits import ListenerLimits
+from ..connections.limits import limit_internal
 from ..errors import ERROR_TABLE
 from ..errors import DispatchError
 from ..errors import ErrorKind
@@ -29,6 +29,7 @@
     from collections.abc import Callable
     from collections.abc import Sequence
 
+    from ..connections.limits import ListenerLimits
     from ..connections.refusals import RefusalCounts
     from ..setting_values import Address
 
@@ -74,7 +75,7 @@
                 address.host,
                 address.port,
                 ADDITIONAL_LISTENER_THREADS,
-                ListenerLimits(ADDITIONAL_LISTENER_BODY_BYTES),
+                limit_internal(ADDITIONAL_LISTENER_BODY_BYTES),
             )
             self.servers.append(server)
 
--- a/src/jackdawkeel/errors.py
+++ b/src/jackdawkeel/errors.py
@@ -44,6 +44,7 @@
     SHUTTING_DOWN = "shutting_down"
     NOT_READY = "not_ready"
     ENTRY_NOT_READY = "entry_not_ready"
+    ENTRY_BUSY = "entry_busy"
     STORE_UNAVAILABLE = "store_unavailable"
     TASK_FAILED = "task_failed"
     TASK_UNKNOWN = "task_unknown"
@@ -105,6 +106,9 @@
     ErrorKind.ENTRY_NOT_READY: ErrorProperties(
         Outcome.UNKNOWN, 503, final=False, retry_after_ms=1000
     ),
+    ErrorKind.ENTRY_BUSY: ErrorProperties(
+        Outcome.UNKNOWN, 504, final=False, retry_after_ms=1000
+    ),
     ErrorKind.STORE_UNAVAILABLE: ErrorProperties(
         Outcome.NOT_RUN, 503, retry_after_ms=2000
     ),
--- a/src/jackdawkeel/platform/settings.py
+++ b/src/jackdawkeel/platform/settings.py
@@ -11,6 +11,9 @@
 import msgspec
 from result import as_result
 
+from ..connections.limits import MIB
+from ..connections.limits import MachineLimits
+from ..connections.limits import read_machine_limits
 from ..scheduling.process_settings import ProcessSettings
 from ..scheduling.process_settings import TimeBounds
 from ..setting_values import Address
@@ -47,6 +50,13 @@
     address: str
 
 
+class PlatformLimits(msgspec.Struct, frozen=True, rename="camel"):
+    """Limits of a process; 0 or a missing value stands for none."""
+
+    memory_mb: float = 0.0
+    max_fds: int = 0
+
+
 class PlatformSettings(msgspec.Struct, frozen=True, rename="camel"):
     """The settings of a process; fields that the project does not use are ignored."""
 
@@ -59,6 +69,7 @@
     seeds: str = ""
     app: str = ""
     bounds: PlatformBounds = PlatformBounds()
+    limits: PlatformLimits = PlatformLimits()
 
 
 @as_result(SettingError)
@@ -101,6 +112,15 @@
         bounds=TimeBounds(
             shutdown_s=raw.bounds.grace_s, remote_slowdown=raw.bounds.remote_penalty
         ),
+        machine=_derive_machine_limits(raw.limits),
+    )
+
+
+def _derive_machine_limits(limits: PlatformLimits) -> MachineLimits:
+    default = read_machine_limits()
+    return MachineLimits(
+        memory_bytes=int(limits.memory_mb * MIB) or default.memory_bytes,
+        descriptors=limits.max_fds or default.descriptors,
     )
 
 
--- a/src/jackdawkeel/policy/connection_choice.py
+++ b/src/jackdawkeel/policy/connection_choice.py
@@ -1,4 +1,4 @@
-"""What the connections of clients wait for.
+"""Which client connection gives way when connections or their memory run out.
 
 Load: thousands of connections that send nothing, little or much, beside callers that
 send a message at once and read its answer.
@@ -7,6 +7,16 @@
 from __future__ import annotations
 
 from enum import Enum
+from typing import TYPE_CHECKING
+from typing import TypeVar
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+
+Connection = TypeVar("Connection")
 
 
 class ConnectionPhase(Enum):
@@ -22,3 +32,28 @@
     ANSWERING = "answering"
     # The next message.
     KEPT = "kept"
+
+
+# A client that has taken its answers is the most likely to be an ordinary one.
+YIELD_ORDER = (
+    ConnectionPhase.LINGERING,
+    ConnectionPhase.NEW,
+    ConnectionPhase.RECEIVING,
+    ConnectionPhase.ANSWERING,
+    ConnectionPhase.KEPT,
+)
+
+
+def choose_oldest(
+    by_phase: Mapping[ConnectionPhase, Iterable[Connection]],
+) -> Connection | None:
+    """Returns the connection that gives way to a new one, or None.
+
+    Args:
+        by_phase: Connections in the order in which they entered the phase.
+    """
+    for phase in YIELD_ORDER:
+        oldest = next(iter(by_phase[phase]), None)
+        if oldest is not None:
+            return oldest
+    return None
--- a/src/jackdawkeel/scheduling/agent_http.py
+++ b/src/jackdawkeel/scheduling/agent_http.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
-from ..connections.limits import ListenerLimits
+from ..connections.limits import limit_internal
 from ..http_messages import HttpRequest
 from ..http_messages import HttpResponse
 from ..wsgi_server import WsgiServer
@@ -49,7 +49,7 @@
             host=address.host,
             port=address.port,
             threads=THREADS,
-            limits=ListenerLimits(MAX_BODY_BYTES),
+            limits=limit_internal(MAX_BODY_BYTES),
             application=self._respond,
             refusals=refusals,
         )
--- a/src/jackdawkeel/scheduling/entry_node.py
+++ b/src/jackdawkeel/scheduling/entry_node.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from ..clock import read_boot_clock
-from ..connections.limits import ListenerLimits
+from ..connections.limits import limit_callers
 from ..connections.refusals import REPORT_INTERVAL_S
 from ..connections.refusals import RefusalCounts
 from ..connections.refusals import RefusalLog
@@ -141,6 +141,7 @@
         self.follower = StoreFollower(store, self.operators, log, self.trigger.plan)
         self.registration = Registration(store, self.address, log)
         self.refusals = RefusalCounts()
+        self.caller_limits = limit_callers(settings.machine, MAX_READ_BYTES)
         self.in_flight = 0
         self.is_listening = False
         self.is_draining = False
@@ -349,7 +350,7 @@
             host=callers.host,
             port=callers.port,
             threads=CALLER_THREADS,
-            limits=ListenerLimits(MAX_READ_BYTES),
+            limits=self.caller_limits,
             refusals=self.refusals,
             handle=self.handle_http,
             additional_addresses=extra_addresses,
--- a/src/jackdawkeel/scheduling/process_settings.py
+++ b/src/jackdawkeel/scheduling/process_settings.py
@@ -3,8 +3,12 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from dataclasses import field
 from typing import TYPE_CHECKING
 
+from ..connections.limits import MachineLimits
+from ..connections.limits import read_machine_limits
+
 
 if TYPE_CHECKING:
     from ..setting_values import Address
@@ -43,6 +47,7 @@
         target: Address of the agent's target; None on an entry.
         bounds: Time limits of the deployment.
         advertised: Address that other processes connect to; None for the link itself.
+        machine: Memory and descriptors that the process may use.
     """
 
     node: str
@@ -57,6 +62,7 @@
     target: Address | None
     bounds: TimeBounds
     advertised: Address | None = None
+    machine: MachineLimits = field(default_factory=read_machine_limits)
 
     @property
     def link(self) -> str:
--- a/src/jackdawkeel/settings.py
+++ b/src/jackdawkeel/settings.py
@@ -5,10 +5,15 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 from dataclasses import dataclass
+from dataclasses import field
 from typing import TypeVar
 
 from result import as_result
 
+from .connections.limits import DEFAULT_MEMORY_BYTES
+from .connections.limits import MIB
+from .connections.limits import MachineLimits
+from .connections.limits import read_machine_limits
 from .setting_values import MAX_PORT
 from .setting_values import Address
 from .setting_values import SettingError
@@ -30,6 +35,9 @@
 DEFAULT_CONNECTIONS = 64
 MAX_CONNECTIONS = 100_000
 DEFAULT_TIMEOUT_MS = 75_000
+DEFAULT_MEMORY_MB = DEFAULT_MEMORY_BYTES // MIB
+MAX_MEMORY_MB = 1024 * 1024
+MAX_DESCRIPTORS = 1024 * 1024
 DEFAULT_METRICS_PORT = 9105
 DEFAULT_REPORTED_ENTRIES = 8
 MAX_REPORTED_ENTRIES = 1000
@@ -97,6 +105,14 @@
 THREADS = Option(
     "threads", "COUNT", "concurrent requests of callers", str(DEFAULT_THREADS)
 )
+MEMORY_MB = Option(
+    "memory_mb", "MB", "memory that the process may use", str(DEFAULT_MEMORY_MB)
+)
+DESCRIPTORS = Option(
+    "max_descriptors",
+    "COUNT",
+    "descriptors that the process may open (default: the system's limit)",
+)
 ENTRY = Option("entry", "URL", "an entry, such as http://IP:PORT", is_required=True)
 TIMEOUT_MS = Option(
     "timeout_ms", "MS", "timeout of the wait for an answer", str(DEFAULT_TIMEOUT_MS)
@@ -114,7 +130,16 @@
 
 PLATFORM_OPTIONS = (METRICS_PORT, ADVERTISE)
 PLATFORM_AGENT_OPTIONS = (*PLATFORM_OPTIONS, REPORTED_ENTRIES)
-ENTRY_OPTIONS = (LISTEN, LINK, ADVERTISE, STORE, AVAILABILITY_ZONE, THREADS)
+ENTRY_OPTIONS = (
+    LISTEN,
+    LINK,
+    ADVERTISE,
+    STORE,
+    AVAILABILITY_ZONE,
+    THREADS,
+    MEMORY_MB,
+    DESCRIPTORS,
+)
 AGENT_OPTIONS = (
     LINK,
     ADVERTISE,
@@ -157,7 +182,8 @@
         advertise: Link address announced to other processes.
         store: URL of the platform's key-value service.
         availability_zone: Availability zone of the process.
-        threads: Requests of callers that are handled concurrently.
+        threads: Callers that may wait for answers at the same time.
+        machine: Memory and descriptors that the process may use.
     """
 
     listen_host: str
@@ -167,6 +193,7 @@
     store: str
     availability_zone: str
     threads: int = DEFAULT_THREADS
+    machine: MachineLimits = field(default_factory=read_machine_limits)
 
 
 @dataclass(frozen=True, slots=True)
@@ -227,9 +254,19 @@
         store=_read(STORE, parse_http_base_url, flags, environment),
         availability_zone=_read(AVAILABILITY_ZONE, parse_name, flags, environment),
         threads=_read(THREADS, _count_up_to(MAX_THREADS), flags, environment),
+        machine=_read_machine(flags, environment),
     )
 
 
+def _read_machine(flags: Flags, environment: Environment) -> MachineLimits:
+    memory_mb = _read(MEMORY_MB, _count_up_to(MAX_MEMORY_MB), flags, environment)
+    descriptors = read_machine_limits().descriptors
+    if read_text(DESCRIPTORS, flags, environment) is not None:
+        parse = _count_up_to(MAX_DESCRIPTORS)
+        descriptors = _read(DESCRIPTORS, parse, flags, environment)
+    return MachineLimits(memory_mb * MIB, descriptors)
+
+
 @as_result(SettingError)
 def read_agent_settings(flags: Flags, environment: Environment) -> AgentSettings:
     """Reads and validates the settings of an agent; flags take precedence."""
--- a/tests/platform_adapter/test_settings.py
+++ b/tests/platform_adapter/test_settings.py
@@ -6,6 +6,9 @@
 import unittest
 from pathlib import Path
 
+from jackdawkeel.connections.limits import MIB
+from jackdawkeel.connections.limits import MachineLimits
+from jackdawkeel.connections.limits import read_machine_limits
 from jackdawkeel.platform.settings import SETTINGS_PATH_VARIABLE
 from jackdawkeel.platform.settings import parse_settings
 from jackdawkeel.platform.settings import read_settings
@@ -48,6 +51,13 @@
         self.assertEqual(settings.bounds.shutdown_s, 8.0)
         self.assertEqual(settings.bounds.remote_slowdown, 1.25)
 
+    def test_limits_of_the_machine(self) -> None:
+        machine = parse_settings(
+            encode(limits_memoryMb="168", limits_maxFds="4096")
+        ).machine
+        self.assertEqual(MachineLimits(168 * MIB, 4096), machine)
+        self.assertEqual(read_machine_limits(), parse_settings(encode()).machine)
+
     def test_empty_seeds_are_accepted(self) -> None:
         self.assertEqual(parse_settings(encode(seeds="")).seeds, ())
 
@@ -56,6 +66,7 @@
             "no port": encode(platform_address="10.200.1.7"),
             "a host name": encode(app="localhost:1"),
             "bad ports": encode(portRange="a,b"),
+            "a bad limit": encode(limits_maxFds="many"),
             "bad bound": encode(bounds_graceS="soon"),
             "a value and a table": encode(platform="1"),
         }
--- a/tests/test_wsgi_server.py
+++ b/tests/test_wsgi_server.py
@@ -11,7 +11,7 @@
 
 import urllib3
 
-from jackdawkeel.connections.limits import ListenerLimits
+from jackdawkeel.connections.limits import limit_internal
 from jackdawkeel.connections.refusals import RefusalCounts
 from jackdawkeel.errors import StartError
 from jackdawkeel.wsgi_server import SOCKET_ENVIRON_KEY
@@ -41,7 +41,7 @@
             host=host,
             port=int(port),
             threads=2,
-            limits=ListenerLimits(100),
+            limits=limit_internal(100),
             application=self.respond,
             refusals=RefusalCounts(),
         )
