HTTP: the messages and answers of all connections share a limit

What callers saw: 30 unfinished bodies of 7 MB took 328 MiB in a process whose settings give 128.

Cause: a limit for one message is none for a process.

Change: received messages, messages that are handled and answers that are not taken share an eighth of the memory in the settings. Beyond that the largest gives way; one below 16 KiB never does. A body counts until the application has decoded it, so that a waiting job does not hold it.

--- a/src/jackdawkeel/connections/client_connection.py
+++ b/src/jackdawkeel/connections/client_connection.py
@@ -18,6 +18,7 @@
 from ..errors import ErrorKind
 from ..http_messages import JSON_TYPE
 from .limits import MAX_LINGER_BYTES
+from .message_reader import Message
 from .message_reader import MessageReader
 from .refusals import RefusalCause
 
@@ -28,7 +29,7 @@
 
     from cheroot.server import HTTPServer
 
-    from .message_reader import Message
+    from .message_memory import MessageMemory
     from .refusals import RefusalCounts
 
 
@@ -79,7 +80,8 @@
     """A connection whose messages are read before a thread handles them.
 
     The socket never blocks. One thread at a time uses the connection: that of the
-    selector, or one that handles a message.
+    selector, or one that handles a message. While that one waits for the application,
+    the application may discard the body.
 
     Attributes:
         reader: Splits the received bytes into messages.
@@ -89,6 +91,7 @@
         events: Events for which the selector watches the socket; 0 if it doesn't.
         is_refused: Whether the answer is a refusal, after which input is discarded.
         discarded_bytes: Input that was discarded after a refusal.
+        held_bytes: Bytes counted in the memory of messages.
     """
 
     rfile: BytesIO
@@ -99,6 +102,7 @@
         sock: socket.socket,
         *,
         max_body_bytes: int,
+        memory: MessageMemory,
         refusals: RefusalCounts,
         on_close: Callable[[ClientConnection], None],
     ) -> None:
@@ -108,6 +112,7 @@
         self.reader = MessageReader(max_body_bytes)
         self.output = OutputBuffer()
         self.wfile = self.output
+        self.memory = memory
         self.refusals = refusals
         self.on_close = on_close
         self.message: Message | None = None
@@ -117,6 +122,7 @@
         self.is_refused = False
         self.is_closed = False
         self.discarded_bytes = 0
+        self.held_bytes = 0
 
     # Used on the thread of the selector.
 
@@ -180,6 +186,14 @@
             del output[:sent]
         return True
 
+    def update_memory(self) -> None:
+        """Counts the bytes that the connection holds now."""
+        held = self.reader.held_bytes + len(self.output.data)
+        if self.message is not None:
+            held += len(self.message.head) + len(self.message.body)
+        self.memory.adjust(held - self.held_bytes)
+        self.held_bytes = held
+
     # Used on the threads that handle messages.
 
     def communicate(self) -> bool:
@@ -196,11 +210,19 @@
         self.has_answered = True
         return True
 
+    def discard_body(self) -> None:
+        """Drops the body of the message, which the application has decoded."""
+        if self.message is not None:
+            self.message = Message(self.message.head, b"")
+            self.update_memory()
+
     def close(self) -> None:
         """Closes the connection; further calls have no effect."""
         if self.is_closed:
             return
         self.is_closed = True
+        self.memory.adjust(-self.held_bytes)
+        self.held_bytes = 0
         self.reader = MessageReader(0)
         with suppress(OSError):
             super().close()
--- a/src/jackdawkeel/connections/intake.py
+++ b/src/jackdawkeel/connections/intake.py
@@ -18,6 +18,7 @@
 from ..errors import ErrorKind
 from ..policy.connection_choice import ConnectionPhase
 from .client_connection import ClientConnection
+from .message_memory import MessageMemory
 from .refusals import MessageError
 from .refusals import RefusalCause
 from .waiting_connections import WaitingConnections
@@ -42,6 +43,9 @@
 STOP_SEND_TIMEOUT_S = 1.0
 
 TIMED_OUT = DispatchError(ErrorKind.REQUEST_TIMEOUT, "the message took too long")
+OUT_OF_MEMORY = DispatchError(
+    ErrorKind.ENTRY_BUSY, "the messages of all clients take too much memory"
+)
 OUT_OF_CONNECTIONS = DispatchError(
     ErrorKind.ENTRY_BUSY, "there are too many connections"
 )
@@ -53,6 +57,7 @@
     Attributes:
         connections: All open connections.
         waiting: Those that wait for their clients; the others are handled by a thread.
+        memory: Memory of the messages and answers that they hold.
         receive_buffer: Buffer into which the bytes of any connection are received.
         lock: Held while a connection starts or stops to wait.
     """
@@ -65,6 +70,7 @@
         self.refusals = refusals
         self.connections: set[ClientConnection] = set()
         self.waiting = WaitingConnections(time.monotonic)
+        self.memory = MessageMemory(limits.memory_bytes)
         self.receive_buffer = bytearray(RECEIVE_BYTES)
         self.is_serving = False
         self.is_stopping = False
@@ -150,6 +156,7 @@
             self.server,
             accepted,
             max_body_bytes=self.limits.max_body_bytes,
+            memory=self.memory,
             refusals=self.refusals,
             on_close=self.connections.discard,
         )
@@ -189,7 +196,7 @@
             return
         with memoryview(self.receive_buffer) as received:
             is_valid = self._read(connection, received[:count])
-        if is_valid:
+        if is_valid and self._limit_memory(connection):
             self._advance(connection)
 
     def _linger(self, connection: ClientConnection) -> None:
@@ -215,6 +222,7 @@
         except MessageError as error:
             self._refuse(connection, error.cause, error.error)
             return False
+        connection.update_memory()
         return True
 
     def _advance(self, connection: ClientConnection) -> None:
@@ -229,6 +237,7 @@
     def _continue(self, connection: ClientConnection) -> None:
         """Sends the output, and then ends the connection or reads its next message."""
         is_sent = connection.send_output()
+        connection.update_memory()
         if not is_sent:
             self._wait(connection, ConnectionPhase.ANSWERING)
         elif connection.is_refused:
@@ -252,6 +261,17 @@
 
     # Limits that all connections share; only on the selector's thread.
 
+    def _limit_memory(self, current: ClientConnection) -> bool:
+        """Refuses the largest messages; returns whether the current one may go on."""
+        while self.memory.is_exceeded:
+            largest = self.waiting.find_largest(current)
+            if largest is None:
+                return True
+            self._refuse(largest, RefusalCause.MEMORY, OUT_OF_MEMORY)
+            if largest is current:
+                return False
+        return True
+
     def _has_room(self) -> bool:
         """Returns whether another connection may be held; one may give way to it."""
         if len(self.connections) < self.limits.max_connections:
--- a/src/jackdawkeel/connections/limits.py
+++ b/src/jackdawkeel/connections/limits.py
@@ -38,6 +38,11 @@
 MIN_CALLER_CONNECTIONS = 16
 # Heartbeats, readiness checks and metrics come a few times a second.
 MAX_INTERNAL_CONNECTIONS = 64
+# Share of the memory for messages that have not been handled and answers not taken.
+MESSAGE_MEMORY_SHARE = 0.125
+INTERNAL_MESSAGE_MEMORY_BYTES = 4 * MIB
+# A connection that holds less never gives way to others for its memory.
+SMALL_MESSAGE_BYTES = 16 * KIB
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,10 +64,13 @@
 
     Attributes:
         max_connections: Connections that are held.
+        memory_bytes: Bytes of messages and answers that all connections hold together,
+            without those that hold less than ``SMALL_MESSAGE_BYTES``.
         max_body_bytes: Size of the largest body that is read.
     """
 
     max_connections: int
+    memory_bytes: int
     max_body_bytes: int
 
 
@@ -80,12 +88,14 @@
 
     Args:
         machine: Limits of the process.
-        max_body_bytes: Size of the largest body that is read.
+        max_body_bytes: Size of the largest body that is read if the memory allows it.
     """
+    memory_bytes = int(machine.memory_bytes * MESSAGE_MEMORY_SHARE)
     shared = _count_shared_descriptors(machine)
     return ListenerLimits(
         max_connections=max(MIN_CALLER_CONNECTIONS, int(shared * CALLER_SHARE)),
-        max_body_bytes=max_body_bytes,
+        memory_bytes=memory_bytes,
+        max_body_bytes=min(max_body_bytes, memory_bytes // 2),
     )
 
 
@@ -95,7 +105,9 @@
     Args:
         max_body_bytes: Size of the largest body that is read.
     """
-    return ListenerLimits(MAX_INTERNAL_CONNECTIONS, max_body_bytes)
+    return ListenerLimits(
+        MAX_INTERNAL_CONNECTIONS, INTERNAL_MESSAGE_MEMORY_BYTES, max_body_bytes
+    )
 
 
 def _count_shared_descriptors(machine: MachineLimits) -> int:
--- a/src/jackdawkeel/connections/refusals.py
+++ b/src/jackdawkeel/connections/refusals.py
@@ -29,6 +29,7 @@
     FRAMING_TOO_LARGE = "framing_too_large"
     MESSAGE_TIMEOUT = "message_timeout"
     ANSWER_TIMEOUT = "answer_timeout"
+    MEMORY = "memory"
     CONNECTIONS = "connections"
 
 
--- a/src/jackdawkeel/connections/waiting_connections.py
+++ b/src/jackdawkeel/connections/waiting_connections.py
@@ -6,11 +6,13 @@
 from typing import TYPE_CHECKING
 
 from ..policy.connection_choice import ConnectionPhase
+from ..policy.connection_choice import choose_largest
 from ..policy.connection_choice import choose_oldest
 from .limits import ANSWER_TIMEOUT_S
 from .limits import IDLE_TIMEOUT_S
 from .limits import LINGER_TIMEOUT_S
 from .limits import MESSAGE_TIMEOUT_S
+from .limits import SMALL_MESSAGE_BYTES
 
 
 if TYPE_CHECKING:
@@ -26,6 +28,8 @@
     ConnectionPhase.ANSWERING: ANSWER_TIMEOUT_S,
     ConnectionPhase.LINGERING: LINGER_TIMEOUT_S,
 }
+# Phases in which a connection may hold a part of a message or an answer.
+LOADED_PHASES = (ConnectionPhase.RECEIVING, ConnectionPhase.ANSWERING)
 
 
 class WaitingConnections:
@@ -87,3 +91,18 @@
         """Returns the connection that gives way to a new one, or None."""
         with self.lock:
             return choose_oldest(self.by_phase)
+
+    def find_largest(self, current: ClientConnection) -> ClientConnection | None:
+        """Returns the connection that gives way for its memory, or None.
+
+        Args:
+            current: A connection that may give way too, whether it waits or not.
+        """
+        with self.lock:
+            waiting = (
+                connection
+                for phase in LOADED_PHASES
+                for connection in self.by_phase[phase]
+            )
+            sizes = ((item.held_bytes, item) for item in (current, *waiting))
+            return choose_largest(sizes, SMALL_MESSAGE_BYTES)
--- a/src/jackdawkeel/entry/http_server.py
+++ b/src/jackdawkeel/entry/http_server.py
@@ -21,6 +21,7 @@
 from ..http_messages import MS_PER_S
 from ..http_messages import HttpRequest
 from ..http_messages import HttpResponse
+from ..wsgi_server import DISCARD_ENVIRON_KEY
 from ..wsgi_server import SOCKET_ENVIRON_KEY
 from ..wsgi_server import WsgiServer
 
@@ -140,6 +141,7 @@
                 idempotency_key=request.headers.get("Idempotency-Key"),
                 headers=request.headers,
                 connection=request.wsgi_environ.get(SOCKET_ENVIRON_KEY),
+                release_body=request.wsgi_environ.get(DISCARD_ENVIRON_KEY),
             )
         )
         headers = cherrypy.serving.response.headers
--- a/src/jackdawkeel/http_messages.py
+++ b/src/jackdawkeel/http_messages.py
@@ -9,6 +9,7 @@
 
 if TYPE_CHECKING:
     import socket
+    from collections.abc import Callable
     from collections.abc import Mapping
 
 
@@ -17,7 +18,7 @@
 MS_PER_S = 1000
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class HttpRequest:
     """A request as route handlers receive it.
 
@@ -28,6 +29,8 @@
         idempotency_key: Value of the Idempotency-Key header, or None.
         headers: Value of each header by its name, which is case-insensitive.
         connection: Socket of the caller; used only to detect its disconnect.
+        release_body: Called once the body is no longer needed; None if nothing else
+            holds it.
     """
 
     method: str
@@ -36,6 +39,13 @@
     idempotency_key: str | None
     headers: Mapping[str, str] = field(default_factory=dict)
     connection: socket.socket | None = None
+    release_body: Callable[[], None] | None = None
+
+    def discard_body(self) -> None:
+        """Releases the memory of the body, which has been decoded."""
+        self.body = b""
+        if self.release_body is not None:
+            self.release_body()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/jackdawkeel/policy/connection_choice.py
+++ b/src/jackdawkeel/policy/connection_choice.py
@@ -57,3 +57,19 @@
         if oldest is not None:
             return oldest
     return None
+
+
+def choose_largest(
+    held_bytes: Iterable[tuple[int, Connection]], min_bytes: int
+) -> Connection | None:
+    """Returns the connection that gives way to others for its memory, or None.
+
+    Args:
+        held_bytes: Bytes that each connection holds, and the connection.
+        min_bytes: A connection that holds less is never chosen.
+    """
+    largest, chosen = min_bytes - 1, None
+    for size, connection in held_bytes:
+        if size > largest:
+            largest, chosen = size, connection
+    return chosen
--- a/src/jackdawkeel/scheduling/entry_node.py
+++ b/src/jackdawkeel/scheduling/entry_node.py
@@ -212,6 +212,7 @@
             return self.callers.build_error_response(error)
         try:
             call = self.callers.decode_call(request, self.operators.configuration)
+            request.discard_body()
             if call.is_err():
                 return self._answer_refusal(request, call.unwrap_err())
             return await self._answer_call(call.unwrap(), request)
--- a/src/jackdawkeel/wsgi_server.py
+++ b/src/jackdawkeel/wsgi_server.py
@@ -28,6 +28,7 @@
 
 
 SOCKET_ENVIRON_KEY = "jackdawkeel.socket"
+DISCARD_ENVIRON_KEY = "jackdawkeel.discard_body"
 LISTEN_BACKLOG = 1024
 WAKE_TIMEOUT_S = 0.2
 # Idle time before a probe, and between probes: a peer that has closed the connection
@@ -58,7 +59,8 @@
             threads: Number of threads that handle requests.
             limits: Limits of messages and connections.
             application: WSGI application, called on the server's threads. Its environ
-                has the socket of the connection under ``SOCKET_ENVIRON_KEY``.
+                has the socket of the connection under ``SOCKET_ENVIRON_KEY``, and under
+                ``DISCARD_ENVIRON_KEY`` a function that releases the request's body.
             refusals: Counts the messages that are refused and connections ended.
         """
         self.address = f"{host}:{port}"
@@ -133,4 +135,5 @@
         """Returns the WSGI environ, including what belongs to the connection."""
         environment: dict[str, object] = super().get_environ()  # type: ignore[no-untyped-call]
         environment[SOCKET_ENVIRON_KEY] = self.req.conn.socket
+        environment[DISCARD_ENVIRON_KEY] = self.req.conn.discard_body
         return environment
