Platform: the text of a job is checked before it is decoded

What callers saw: four jobs of 8 MB with dependencies on step 0 took 196 MiB in a process whose settings give 128.

Cause: decoded values take many times the length of their text, and steps were counted only after decoding. Dependencies had no limit.

Change: objects and separators of the text are counted first, and a job may have at most 100,000 dependencies, as many as 447 steps that each depend on all earlier ones.

--- a/src/jackdawkeel/platform/submissions.py
+++ b/src/jackdawkeel/platform/submissions.py
@@ -24,6 +24,11 @@
 # Bounds the memory of one job. The largest expected job has 240 tasks.
 MAX_TASKS = 10_000
 MAX_STEPS = 1000
+# Dependencies of all steps together.
+MAX_DEPENDENCIES = 100_000
+# Checked on the text of a job, whose decoded values take many times its length.
+MAX_OBJECTS = MAX_STEPS + MAX_SPEC_BYTES + 1
+MAX_SEPARATORS = MAX_DEPENDENCIES + 20 * MAX_STEPS + MAX_SPEC_BYTES
 
 
 class PlatformJobState(StrEnum):
@@ -54,6 +59,7 @@
     if not JOB_ID.fullmatch(job_id):
         text = "the job id must be 16 lower-case hexadecimal digits"
         raise SubmissionError(ErrorKind.BAD_REQUEST, text)
+    _check_text(body)
     try:
         raw = msgspec.json.decode(body, type=WireJob)
     except DECODE_ERRORS as error:
@@ -73,6 +79,13 @@
     return msgspec.json.encode({"pending": count})
 
 
+def _check_text(body: bytes) -> None:
+    if body.count(b"{") > MAX_OBJECTS or body.count(b",") > MAX_SEPARATORS:
+        text = f"a job may have at most {MAX_STEPS} steps"
+        text += f" and {MAX_DEPENDENCIES} dependencies"
+        raise SubmissionError(ErrorKind.BAD_REQUEST, text)
+
+
 def _check_job(raw: WireJob) -> None:
     if len(raw.spec.encode()) > MAX_SPEC_BYTES:
         text = f"spec is longer than {MAX_SPEC_BYTES} bytes"
@@ -83,6 +96,9 @@
     if sum(step.count for step in raw.steps) > MAX_TASKS:
         text = f"a job may have at most {MAX_TASKS} tasks"
         raise SubmissionError(ErrorKind.BAD_REQUEST, text)
+    if sum(len(step.after) for step in raw.steps) > MAX_DEPENDENCIES:
+        text = f"a job may have at most {MAX_DEPENDENCIES} dependencies"
+        raise SubmissionError(ErrorKind.BAD_REQUEST, text)
     if not raw.best_effort:
         _reject_unsupported("jobs that are not best-effort")
     if raw.repeat_count or raw.start_at_ms:
--- a/tests/platform_adapter/test_submissions.py
+++ b/tests/platform_adapter/test_submissions.py
@@ -34,6 +34,11 @@
     "too many tasks": encode_job(STEP | {"count": 10_001}),
     "a later step before": encode_job(STEP | {"after": [1]}, STEP),
     "a step after itself": encode_job(STEP | {"after": [0]}),
+    "too many dependencies": encode_job(
+        *[STEP | {"count": 1}] * 200, STEP | {"after": [*range(200)] * 501}
+    ),
+    "too many values": encode_job(STEP | {"after": [0] * 200_000}),
+    "too many objects": b'{"spec":"","steps":[%b{}]}' % (b"{}," * 6000),
     "a long spec": encode_job(STEP, spec="x" * 4001),
     "a spec of another type": encode_job(STEP, spec=7),
 }
