Entry: open and ended jobs share limits of memory

Cause: the state of tasks was limited for one job only, and kept for up to 2,000 jobs that had ended.

Change: open jobs share a quarter of the memory in the settings, by an upper estimate; beyond it a job is refused with overloaded, or entry_busy if it may be running. An ended job keeps no tasks, and ended jobs share a sixteenth.

--- a/src/jackdawkeel/scheduling/entry_node.py
+++ b/src/jackdawkeel/scheduling/entry_node.py
@@ -35,6 +35,7 @@
 from ..metrics import HistogramName
 from ..metrics import Metrics
 from ..periodic import run_periodically
+from ..policy.job_memory import limit_job_memory
 from ..process_signals import handle_stop_signals
 from ..process_signals import log_reload_signals
 from ..setting_values import Address
@@ -137,6 +138,7 @@
             remote_slowdown=settings.bounds.remote_slowdown,
             incarnation=log.incarnation,
             list_entries=self._list_other_entries,
+            memory_limits=limit_job_memory(settings.machine.memory_bytes),
         )
         self.follower = StoreFollower(store, self.operators, log, self.trigger.plan)
         self.registration = Registration(store, self.address, log)
--- a/src/jackdawkeel/scheduling/job.py
+++ b/src/jackdawkeel/scheduling/job.py
@@ -206,6 +206,10 @@
                 for task in tasks:
                     task.phase = TaskPhase.READY
 
+    def drop_tasks(self) -> None:
+        """Releases the state of the tasks of a job that has ended."""
+        self.tasks = [[] for _ in self.spec.steps]
+
     def waiting_cores(self) -> float:
         """Returns the processors that all ready tasks claim together."""
         return sum(
--- a/src/jackdawkeel/scheduling/job_outcomes.py
+++ b/src/jackdawkeel/scheduling/job_outcomes.py
@@ -18,6 +18,8 @@
     from .job import Job
     from .job import Task
     from .job_admission import Refusal
+    from .specification import JobSpec
+    from .specification import Queue
 
 
 MS_PER_S = 1000
@@ -57,21 +59,27 @@
         }
 
     def record_refused(
-        self, job: Job, refusal: Refusal, waiting_jobs: int, open_orders: int
+        self,
+        spec: JobSpec,
+        queue: Queue,
+        refusal: Refusal,
+        waiting_jobs: int,
+        open_orders: int,
     ) -> None:
         """Records a job that was refused at its arrival.
 
         Args:
-            job: The job.
+            spec: The job.
+            queue: Its queue.
             refusal: Why it is refused.
             waiting_jobs: Number of jobs that wait at the entry.
             open_orders: Number of open assignments of the entry.
         """
-        self._count_refused(job, refusal.reason)
+        self._count_refused(queue, refusal.reason)
         self.log.record(
             EventName.JOB_REFUSED,
-            job=job.spec.job_id,
-            queue=job.queue.name,
+            job=spec.job_id,
+            queue=queue.name,
             kind=refusal.error.kind.value,
             reason=refusal.error.message,
             cause=refusal.reason,
@@ -103,7 +111,7 @@
             name = CounterName.JOBS_IN_TIME if is_in_time else CounterName.JOBS_LATE
             self.counts[name][job.queue.name] += 1
         elif job.error is not None and job.error.kind is ErrorKind.OVERLOADED:
-            self._count_refused(job, WAITED)
+            self._count_refused(job.queue, WAITED)
         self._count_promise(job, is_in_time)
         self.log.record(
             EventName.JOB_ENDED,
@@ -134,8 +142,8 @@
         name = CounterName.PROMISES_KEPT if is_in_time else CounterName.PROMISES_BROKEN
         self.counts[name][job.queue.name] += 1
 
-    def _count_refused(self, job: Job, reason: str) -> None:
-        self.counts[CounterName.JOBS_REFUSED][f"{job.queue.name}:{reason}"] += 1
+    def _count_refused(self, queue: Queue, reason: str) -> None:
+        self.counts[CounterName.JOBS_REFUSED][f"{queue.name}:{reason}"] += 1
 
 
 def _to_ms(seconds: float | None) -> float | None:
--- a/src/jackdawkeel/scheduling/job_scheduler.py
+++ b/src/jackdawkeel/scheduling/job_scheduler.py
@@ -5,8 +5,10 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from ..connections.limits import DEFAULT_MEMORY_BYTES
 from ..events import EventName
 from ..messages.scheduling import TaskStatus
+from ..policy.job_memory import limit_job_memory
 from ..policy.target_speed import find_distance_factor
 from ..policy.waiting import would_end_too_late
 from .agent_connectivity import AgentConnectivity
@@ -28,6 +30,8 @@
 from .job_errors import describe_late_refusal
 from .job_errors import describe_refused_takeover
 from .job_errors import describe_shutdown
+from .job_memory import JobMemory
+from .job_memory import refuse_for_memory
 from .job_outcomes import JobOutcomes
 from .job_ownership import JobActions
 from .job_ownership import JobOwnership
@@ -47,17 +51,18 @@
     from ..messages import PeerAddress
     from ..messages.scheduling import AgentReport
     from ..messages.scheduling import TaskUpdate
+    from ..policy.job_memory import JobMemoryLimits
     from .agent_views import AgentView
     from .agent_views import AgentViews
     from .job import OpenAssignment
     from .job import Task
     from .job import TaskNamer
+    from .job_admission import Refusal
     from .specification import JobSpec
     from .specification import Queue
 
 
 # Number of ended jobs whose answer is kept for repeated requests.
-MAX_ENDED_JOBS = 2000
 # Agents of earlier versions also send the status of a run that has started.
 END_STATUSES = frozenset(status.value for status in TaskStatus)
 MS_PER_S = 1000
@@ -90,6 +95,7 @@
         remote_slowdown: float = 1.0,
         incarnation: str = "",
         list_entries: Callable[[], Iterable[PeerAddress]] = tuple,
+        memory_limits: JobMemoryLimits | None = None,
     ) -> None:
         """Creates a scheduler without jobs.
 
@@ -107,6 +113,8 @@
                 that within it.
             incarnation: Incarnation of the entry.
             list_entries: Returns the other entries that are registered in the store.
+            memory_limits: Limits on the memory of jobs; None for those of a process
+                with the default memory.
         """
         self.clock = clock
         self.log = log
@@ -116,6 +124,7 @@
         self.rng = rng
         self.jobs: dict[str, Job] = {}
         self.ended_jobs: dict[str, Job] = {}
+        self.memory = JobMemory(memory_limits or limit_job_memory(DEFAULT_MEMORY_BYTES))
         self.queue = JobQueue()
         self.run_times = views.run_times
         self.remote_slowdown = remote_slowdown
@@ -160,6 +169,10 @@
         """Returns a job that is open or has recently ended."""
         return self.jobs.get(job_id) or self.ended_jobs.get(job_id)
 
+    def may_run(self, job_id: str) -> bool:
+        """Returns whether a job may be running, at this entry or at another one."""
+        return job_id in self.jobs or bool(self.ownership.find_holders(job_id))
+
     def submit(
         self,
         spec: JobSpec,
@@ -188,6 +201,10 @@
             else:
                 existing.waiters.append(waiter)
             return existing
+        if not self.memory.has_room(spec):
+            refusal = refuse_for_memory(may_run=self.may_run(spec.job_id))
+            self._record_refused(spec, queue, refusal)
+            return refusal.error
         job = make_job(
             spec,
             queue,
@@ -201,18 +218,21 @@
             return job
         holders = self.ownership.find_holders(spec.job_id)
         if holders:
-            job.waiters.append(waiter)
-            self.jobs[spec.job_id] = job
+            self._open(job, waiter)
             self.ownership.join(job, holders)
             return job
-        refusal = self._find_refusal(job)
-        if refusal is not None:
-            return refusal
-        job.waiters.append(waiter)
-        self.jobs[spec.job_id] = job
+        error = self._find_refusal(job)
+        if error is not None:
+            return error
+        self._open(job, waiter)
         self._queue_admitted(job)
         return job
 
+    def _open(self, job: Job, waiter: asyncio.Future[None]) -> None:
+        job.waiters.append(waiter)
+        self.jobs[job.spec.job_id] = job
+        self.memory.record_opened(job.spec)
+
     def _queue_admitted(self, job: Job) -> None:
         now = self.clock()
         self.queue.jobs.append(job)
@@ -254,10 +274,13 @@
         )
         if refusal is None:
             return None
-        waiting, assigned = len(self.queue.jobs), len(self.assignments.open)
-        self.outcomes.record_refused(job, refusal, waiting, assigned)
+        self._record_refused(job.spec, job.queue, refusal)
         return refusal.error
 
+    def _record_refused(self, spec: JobSpec, queue: Queue, refusal: Refusal) -> None:
+        waiting, assigned = len(self.queue.jobs), len(self.assignments.open)
+        self.outcomes.record_refused(spec, queue, refusal, waiting, assigned)
+
     def handle_disconnect(self, job: Job, waiter: asyncio.Future[None]) -> None:
         """Removes a disconnected caller; a job without callers is cancelled."""
         if waiter in job.waiters:
@@ -506,21 +529,19 @@
         job.result = result
         job.error = error
         self.jobs.pop(job.spec.job_id, None)
+        # A job that replaces an ended one with the same id is the newest.
+        self.ended_jobs.pop(job.spec.job_id, None)
         self.ended_jobs[job.spec.job_id] = job
-        self._drop_old_jobs()
+        self.memory.record_ended(job.spec)
+        self.memory.drop_ended(self.ended_jobs)
         self.assignments.stop(list(job.open_assignments.values()))
         for waiter in job.waiters:
             if not waiter.done():
                 waiter.set_result(None)
         self.ownership.handle_end(job)
         self.outcomes.record_ended(job, self.clock() - job.received_at)
-
-    def _drop_old_jobs(self) -> None:
-        while len(self.ended_jobs) > MAX_ENDED_JOBS:
-            oldest = next(iter(self.ended_jobs))
-            if self.ended_jobs[oldest].open_assignments:
-                return
-            del self.ended_jobs[oldest]
+        # Open assignments refer to their tasks themselves.
+        job.drop_tasks()
 
     def tick(self) -> None:
         """Handles timeouts and assigns waiting tasks.
