Entry: waiting callers leave threads for calls that are answered at once

Cause: each waiting caller blocks a thread, and nothing limited them.

Beyond it a job is refused at once, with entry_busy if it may be running already; the answer to a job that has ended is still delivered.

--- a/src/jackdawkeel/entry/daemon.py
+++ b/src/jackdawkeel/entry/daemon.py
@@ -30,9 +30,12 @@
 from ..metrics import HistogramName
 from ..metrics import Metrics
 from ..periodic import run_periodically
+from ..policy.caller_limits import limit_waiting_callers
 from ..policy.quota import QuotaState
 from ..process_signals import handle_stop_signals
 from ..store.etcd import EtcdStore
+from ..waiting_callers import RESERVED_THREADS
+from ..waiting_callers import WaitingCallers
 from .heartbeats import reply_to_heartbeat
 from .http_server import HttpServer
 from .job_forwarder import JobForwarder
@@ -101,6 +104,9 @@
         self.sync = self._make_sync()
         self.key_lease = SharedLease()
         self.caller_limits = limit_callers(settings.machine, MAX_READ_BYTES)
+        self.waiting_callers = WaitingCallers(
+            limit_waiting_callers(settings.threads, self.caller_limits.max_connections)
+        )
         self.refusals = RefusalCounts()
         self.refusal_log = RefusalLog(self.refusals, log)
         self.requests_in_flight = 0
@@ -197,7 +203,7 @@
         server = HttpServer(
             host=self.settings.listen_host,
             port=self.settings.listen_port,
-            threads=self.settings.threads,
+            threads=self.settings.threads + RESERVED_THREADS,
             limits=self.caller_limits,
             refusals=self.refusals,
             handle=self.handle_http,
--- a/src/jackdawkeel/entry/jobs.py
+++ b/src/jackdawkeel/entry/jobs.py
@@ -94,6 +94,8 @@
     parsed_id = parse_job_id(job_id_text)
     if parsed_id.is_err():
         return answer_error(None, parsed_id.unwrap_err())
+    if entry.waiting_callers.is_full:
+        return answer_error(job_id_text, _full_error(ErrorKind.ENTRY_BUSY))
     parsed = parse_job_request(body)
     if parsed.is_err():
         return answer_error(None, parsed.unwrap_err())
@@ -106,6 +108,10 @@
 
 async def post_job(entry: Entry, body: bytes, key: str | None) -> Answer:
     """Runs a job under a new id, or under the id claimed by its idempotency key."""
+    if entry.waiting_callers.is_full:
+        # An earlier request may have claimed an id with the same key.
+        kind = ErrorKind.OVERLOADED if key is None else ErrorKind.ENTRY_BUSY
+        return answer_error(None, _full_error(kind))
     parsed = parse_job_request(body)
     if parsed.is_err():
         return answer_error(None, parsed.unwrap_err())
@@ -211,7 +217,8 @@
         deadline_ms=request.deadline_ms,
         refusal=_encode_refusal(refusal),
     )
-    answer = await _call_home(entry, job_id, message)
+    with entry.waiting_callers:
+        answer = await _call_home(entry, job_id, message)
     elapsed_s = entry.clock() - started_at
     entry.metrics.observe(HistogramName.JOB, elapsed_s, request.service)
     return answer
@@ -249,6 +256,10 @@
     return Refusal(refusal.kind.value, refusal.message, refusal.retry_after_ms)
 
 
+def _full_error(kind: ErrorKind) -> DispatchError:
+    return DispatchError(kind, "too many callers wait for answers at this entry")
+
+
 def _no_target_error(service: str) -> DispatchError:
     text = f"service {service} has no target in service"
     return DispatchError(ErrorKind.NO_TARGET, text)
--- a/src/jackdawkeel/scheduling/entry_node.py
+++ b/src/jackdawkeel/scheduling/entry_node.py
@@ -35,10 +35,13 @@
 from ..metrics import HistogramName
 from ..metrics import Metrics
 from ..periodic import run_periodically
+from ..policy.caller_limits import limit_waiting_callers
 from ..policy.job_memory import limit_job_memory
 from ..process_signals import handle_stop_signals
 from ..process_signals import log_reload_signals
 from ..setting_values import Address
+from ..waiting_callers import RESERVED_THREADS
+from ..waiting_callers import WaitingCallers
 from .agent_views import AgentViews
 from .caller_calls import CancelCall
 from .caller_calls import PendingCall
@@ -47,6 +50,7 @@
 from .disconnect import DisconnectWatch
 from .disconnect import is_disconnected
 from .job import Job
+from .job_errors import describe_full
 from .job_scheduler import JobScheduler
 from .operator_state import OperatorState
 from .owner_beats import make_owner_beat
@@ -69,8 +73,8 @@
 TICK_INTERVAL_S = 0.05
 SILENCE_CHECK_INTERVAL_S = 0.2
 IDLE_LINK_CHECK_INTERVAL_S = 5.0
-# Maximum number of requests that wait for an answer; each blocks one thread.
-CALLER_THREADS = 160
+# Callers that may wait for answers; each blocks a thread.
+MAX_WAITING_CALLERS = 160
 # After SIGTERM, the balancer sends new connections for about two of its checks.
 BALANCER_REMOVAL_S = 2.6
 # Part of the shutdown time that is reserved for sending answers and exiting.
@@ -144,6 +148,11 @@
         self.registration = Registration(store, self.address, log)
         self.refusals = RefusalCounts()
         self.caller_limits = limit_callers(settings.machine, MAX_READ_BYTES)
+        self.waiting_callers = WaitingCallers(
+            limit_waiting_callers(
+                MAX_WAITING_CALLERS, self.caller_limits.max_connections
+            )
+        )
         self.in_flight = 0
         self.is_listening = False
         self.is_draining = False
@@ -265,6 +274,9 @@
         if is_disconnected(request.connection):
             # The caller may have resubmitted the job through another entry.
             return self._answer_disconnected(call)
+        if self.waiting_callers.is_full and not self.scheduler.has_answer(call.spec):
+            may_run = self.scheduler.may_run(call.spec.job_id)
+            return self._answer_refusal(request, describe_full(may_run=may_run))
         waiter: asyncio.Future[None] = self.loop.create_future()
         submitted = self.scheduler.submit(
             call.spec, call.queue, call.deadline_s, waiter
@@ -283,7 +295,10 @@
             if not waiter.done():
                 waiter.set_result(None)
 
-        with DisconnectWatch(request.connection, handle_disconnect):
+        with (
+            self.waiting_callers,
+            DisconnectWatch(request.connection, handle_disconnect),
+        ):
             await waiter
         if not job.has_ended:
             # The job continues, because another request waits for its answer.
@@ -352,7 +367,7 @@
         server = HttpServer(
             host=callers.host,
             port=callers.port,
-            threads=CALLER_THREADS,
+            threads=MAX_WAITING_CALLERS + RESERVED_THREADS,
             limits=self.caller_limits,
             refusals=self.refusals,
             handle=self.handle_http,
--- a/src/jackdawkeel/scheduling/job_errors.py
+++ b/src/jackdawkeel/scheduling/job_errors.py
@@ -30,6 +30,16 @@
     return DispatchError(kind, "the entry shut down before the job had ended")
 
 
+def describe_full(*, may_run: bool) -> DispatchError:
+    """Returns the error of a job whose caller may not wait at this entry.
+
+    Args:
+        may_run: Whether the job may be running already.
+    """
+    kind = ErrorKind.ENTRY_BUSY if may_run else ErrorKind.OVERLOADED
+    return DispatchError(kind, "too many callers wait for answers at this entry")
+
+
 def describe_deadline(job: Job) -> DispatchError:
     """Returns the error of a job whose deadline has passed."""
     if job.has_begun or job.owners:
--- a/src/jackdawkeel/scheduling/job_scheduler.py
+++ b/src/jackdawkeel/scheduling/job_scheduler.py
@@ -169,6 +169,11 @@
         """Returns a job that is open or has recently ended."""
         return self.jobs.get(job_id) or self.ended_jobs.get(job_id)
 
+    def has_answer(self, spec: JobSpec) -> bool:
+        """Returns whether an equal job with the same id has ended with a result."""
+        job = self.ended_jobs.get(spec.job_id)
+        return job is not None and job.spec == spec and job.error is None
+
     def may_run(self, job_id: str) -> bool:
         """Returns whether a job may be running, at this entry or at another one."""
         return job_id in self.jobs or bool(self.ownership.find_holders(job_id))
