Links: accepted connections and incomplete frames on the platform are limited

What operators saw: 600 idle connections to the address for other processes took 620 descriptors of the 500 in the settings, and 30 unfinished frames of 7 MB 257 MiB of 128.

Cause: the same as for HTTP: a limit of 32 MB for one frame, none for all.

Change: accepted links get 0.4 of the descriptors, and their incomplete frames an eighth of the memory. A connection that has sent no valid envelope gives way to a new one; the one with the largest frame is closed. At most 20 dropped messages a second are logged; all are counted.

--- a/bench/announcements.py
+++ b/bench/announcements.py
@@ -13,8 +13,10 @@
 from tests.fakes import make_log
 
 from jackdawkeel.clock import read_boot_clock
+from jackdawkeel.connections.limits import limit_links
+from jackdawkeel.connections.limits import read_machine_limits
 from jackdawkeel.link.node import LinkNode
-from jackdawkeel.link.stream import STREAM_TRANSPORT
+from jackdawkeel.link.stream import make_stream_transport
 from jackdawkeel.messages.ownership import OpenJob
 from jackdawkeel.messages.ownership import OpenJobs
 from jackdawkeel.policy.announcement import MIN_INTERVAL_S
@@ -82,7 +84,7 @@
         address=address,
         clock=read_boot_clock,
         log=make_log(),
-        transport=STREAM_TRANSPORT,
+        transport=make_stream_transport(limit_links(read_machine_limits())),
         deliver=lambda _sender, _message: None,
     )
 
--- a/src/jackdawkeel/connections/limits.py
+++ b/src/jackdawkeel/connections/limits.py
@@ -35,12 +35,15 @@
 # get; the rest is for outgoing links, the store, targets and the other listeners.
 FILE_DESCRIPTORS = 200
 CALLER_SHARE = 0.25
+LINK_SHARE = 0.4
 MIN_CALLER_CONNECTIONS = 16
+MIN_LINK_CONNECTIONS = 16
 # Heartbeats, readiness checks and metrics come a few times a second.
 MAX_INTERNAL_CONNECTIONS = 64
 # Share of the memory for messages that have not been handled and answers not taken.
 MESSAGE_MEMORY_SHARE = 0.125
 INTERNAL_MESSAGE_MEMORY_BYTES = 4 * MIB
+LINK_MEMORY_SHARE = 0.125
 # A connection that holds less never gives way to others for its memory.
 SMALL_MESSAGE_BYTES = 16 * KIB
 
@@ -74,6 +77,19 @@
     max_body_bytes: int
 
 
+@dataclass(frozen=True, slots=True)
+class LinkLimits:
+    """Limits of the address for other processes.
+
+    Attributes:
+        max_connections: Accepted connections that are held.
+        memory_bytes: Bytes of incomplete envelopes that all of them hold together.
+    """
+
+    max_connections: int
+    memory_bytes: int
+
+
 def read_machine_limits() -> MachineLimits:
     """Returns the limits of a process whose settings give none."""
     soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
@@ -110,5 +126,18 @@
     )
 
 
+def limit_links(machine: MachineLimits) -> LinkLimits:
+    """Returns the limits of the address for other processes.
+
+    Args:
+        machine: Limits of the process.
+    """
+    shared = _count_shared_descriptors(machine)
+    return LinkLimits(
+        max_connections=max(MIN_LINK_CONNECTIONS, int(shared * LINK_SHARE)),
+        memory_bytes=int(machine.memory_bytes * LINK_MEMORY_SHARE),
+    )
+
+
 def _count_shared_descriptors(machine: MachineLimits) -> int:
     return max(0, machine.descriptors - FILE_DESCRIPTORS)
--- a/src/jackdawkeel/link/nng.py
+++ b/src/jackdawkeel/link/nng.py
@@ -33,14 +33,14 @@
     def __init__(
         self,
         address: str,
-        receive: Callable[[bytes], None],
+        receive: Callable[[bytes], bool],
         _reject: Callable[[str, str, str], None],
     ) -> None:
         """Listens on a link address.
 
         Args:
             address: Link address, ``tcp://IP:PORT``.
-            receive: Called with each envelope.
+            receive: Called with each envelope; returns whether it is valid.
 
         Raises:
             StartError: If the address can't be listened on.
--- a/src/jackdawkeel/link/node.py
+++ b/src/jackdawkeel/link/node.py
@@ -41,6 +41,8 @@
 SEND_RETRY_DELAY_S = 0.005
 # Batches that encode to more are split, at most down to single messages.
 ENVELOPE_SPLIT_BYTES = 1024 * 1024
+# Bounds the volume of the log, whatever peers send.
+MAX_LOGGED_DROPS_PER_S = 20
 REDIAL_INTERVAL_S = 0.2
 # Pause between two redials of a silent peer. On the platform it doubles until a message
 # of the peer arrives: under high load, connections that are replaced too early never
@@ -136,6 +138,8 @@
         self.sent: Counter[str] = Counter()
         self.received: Counter[str] = Counter()
         self.dropped: Counter[str] = Counter()
+        self.drop_second = 0
+        self.logged_drops = 0
         self.envelopes_sent = 0
         self.envelopes_received = 0
         self.decoder = msgspec.msgpack.Decoder(Envelope)
@@ -299,29 +303,34 @@
         except OverflowError:
             return None
 
-    def receive(self, body: bytes) -> None:
-        """Handles one encoded envelope; a malformed one is dropped."""
+    def receive(self, body: bytes) -> bool:
+        """Handles one encoded envelope; a malformed one is dropped.
+
+        Returns:
+            Whether it is one of this version of the protocol.
+        """
         try:
             envelope = self.decoder.decode(body)
         except DECODE_ERRORS as error:
             self._record_dropped("damaged", "", str(error))
-            return
+            return False
         if envelope.version != PROTOCOL_VERSION:
             peer = envelope.sender.link
             self._record_dropped("version", peer, f"version {envelope.version}")
-            return
+            return False
         self.envelopes_received += 1
         if self._is_stale(envelope):
-            return
+            return True
         self._reset_redial_pause(envelope.sender.link)
         if envelope.redial:
             self._redial_on_request(envelope.sender.link)
         if envelope.recipient not in ("", self.address.incarnation):
             self.send(envelope.sender, WrongRecipient(envelope.recipient))
-            return
+            return True
         for message in envelope.messages:
             self.received[type(message).__name__] += 1
             self._deliver_guarded(envelope.sender, message)
+        return True
 
     def _deliver_guarded(self, sender: PeerAddress, message: Message) -> None:
         try:
@@ -348,6 +357,13 @@
 
     def _record_dropped(self, reason: str, peer: str, details: str = "") -> None:
         self.dropped[reason] += 1
+        second = int(self.clock())
+        if second != self.drop_second:
+            self.drop_second = second
+            self.logged_drops = 0
+        if self.logged_drops >= MAX_LOGGED_DROPS_PER_S:
+            return
+        self.logged_drops += 1
         self.log.record(
             EventName.MESSAGE_DROPPED, reason=reason, peer=peer, details=details
         )
--- a/src/jackdawkeel/link/stream.py
+++ b/src/jackdawkeel/link/stream.py
@@ -8,10 +8,12 @@
 
 import asyncio
 import socket
+from functools import partial
 from typing import TYPE_CHECKING
 from typing import Self
 
 from ..errors import StartError
+from ..policy.connection_choice import choose_largest
 from .address import split_link_address
 from .limits import MAX_ENVELOPE_BYTES
 from .limits import RECONNECT_MAX_MS
@@ -23,6 +25,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from ..connections.limits import LinkLimits
+
 
 LENGTH_BYTES = 4
 READ_BUFFER_BYTES = 64 * 1024
@@ -43,7 +47,9 @@
     """Accepts connections and passes on the envelopes that arrive on them.
 
     Attributes:
-        connections: The open connections.
+        limits: Limits of the connections.
+        connections: The open connections, the oldest first.
+        partial_bytes: Bytes of incomplete frames that they hold together.
         opening: Accepted connections that are being set up.
         read_buffer: Buffer into which the data of any connection is read.
     """
@@ -51,23 +57,27 @@
     def __init__(
         self,
         address: str,
-        receive: Callable[[bytes], None],
+        receive: Callable[[bytes], bool],
         reject: Callable[[str, str, str], None],
+        limits: LinkLimits,
     ) -> None:
         """Listens on a link address.
 
         Args:
             address: Link address.
-            receive: Called with each envelope.
+            receive: Called with each envelope; returns whether it is valid.
             reject: Called with the reason, the peer and details if a connection can't
-                be accepted, or is closed because its data is invalid.
+                be accepted, or is closed because of its data or a limit.
+            limits: Limits of the connections.
 
         Raises:
             StartError: If the address can't be listened on.
         """
         self.receive = receive
         self.reject = reject
-        self.connections: set[asyncio.Transport] = set()
+        self.limits = limits
+        self.connections: dict[InboundStream, asyncio.Transport] = {}
+        self.partial_bytes = 0
         self.is_closed = False
         self.read_buffer = bytearray(READ_BUFFER_BYTES)
         self.socket = socket.socket()
@@ -98,7 +108,7 @@
         self.socket.close()
         for task in self.opening:
             task.cancel()
-        for connection in list(self.connections):
+        for connection in list(self.connections.values()):
             connection.abort()
 
     def _resume(self) -> None:
@@ -116,11 +126,40 @@
             self.loop.remove_reader(self.socket)
             self.loop.call_later(ACCEPT_RETRY_DELAY_S, self._resume)
             return
+        if not self._make_room():
+            accepted.close()
+            return
         accepted.setblocking(False)
         task = self.loop.create_task(self._open(accepted))
         self.opening.add(task)
         task.add_done_callback(self.opening.discard)
 
+    def _make_room(self) -> bool:
+        """Returns whether another connection may be held.
+
+        One that has sent no valid envelope gives way to a new one.
+        """
+        held = len(self.connections) + len(self.opening)
+        if held < self.limits.max_connections:
+            return True
+        for stream in self.connections:
+            if not stream.is_established:
+                stream.reject("connections", "too many connections")
+                return True
+        self.reject("connections", "", "too many connections")
+        return False
+
+    def limit_memory(self) -> None:
+        """Closes the connections with the largest incomplete frames over the limit."""
+        while self.partial_bytes > self.limits.memory_bytes:
+            sizes = ((len(stream.partial), stream) for stream in self.connections)
+            largest = choose_largest(sizes, min_bytes=1)
+            if largest is None:
+                return
+            largest.reject(
+                "memory", f"incomplete frame of {len(largest.partial)} bytes"
+            )
+
     async def _open(self, accepted: socket.socket) -> None:
         try:
             await self.loop.connect_accepted_socket(
@@ -135,11 +174,13 @@
 
     Attributes:
         partial: The beginning of a frame whose end has not arrived.
+        is_established: Whether it has sent a valid envelope.
     """
 
     def __init__(self, listener: StreamListener) -> None:
         self.listener = listener
         self.partial = bytearray()
+        self.is_established = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Registers the connection."""
@@ -148,12 +189,13 @@
         if self.listener.is_closed:
             transport.abort()
             return
-        self.listener.connections.add(transport)
+        self.listener.connections[self] = transport
         enable_keepalive(transport.get_extra_info("socket"))
 
     def connection_lost(self, _error: Exception | None) -> None:
         """Discards an incomplete frame with the connection."""
-        self.listener.connections.discard(self.transport)
+        self.listener.connections.pop(self, None)
+        self._clear()
 
     def get_buffer(self, _size_hint: int) -> bytearray:
         """Returns the buffer for the next read."""
@@ -161,17 +203,24 @@
 
     def buffer_updated(self, count: int) -> None:
         """Passes on the envelopes that are complete."""
+        if self.transport.is_closing():
+            return
         self.partial += memoryview(self.listener.read_buffer)[:count]
+        self.listener.partial_bytes += count
         begin = 0
         while (end := self._find_end(begin)) is not None:
             if end - begin - LENGTH_BYTES > MAX_ENVELOPE_BYTES:
-                self._reject(end - begin - LENGTH_BYTES)
+                length = end - begin - LENGTH_BYTES
+                self.reject("oversized", f"frame of {length} bytes")
                 return
             if end > len(self.partial):
                 break
-            self.listener.receive(bytes(self.partial[begin + LENGTH_BYTES : end]))
+            body = bytes(self.partial[begin + LENGTH_BYTES : end])
+            self.is_established |= self.listener.receive(body)
             begin = end
         del self.partial[:begin]
+        self.listener.partial_bytes -= begin
+        self.listener.limit_memory()
 
     def _find_end(self, begin: int) -> int | None:
         body = begin + LENGTH_BYTES
@@ -179,11 +228,17 @@
             return None
         return body + int.from_bytes(self.partial[begin:body])
 
-    def _reject(self, length: int) -> None:
+    def reject(self, reason: str, details: str) -> None:
+        """Closes the connection at once, because of its data or a limit."""
         peer = self.transport.get_extra_info("peername")
-        self.partial.clear()
+        self.listener.connections.pop(self, None)
+        self._clear()
         self.transport.abort()
-        self.listener.reject("oversized", str(peer), f"frame of {length} bytes")
+        self.listener.reject(reason, str(peer), details)
+
+    def _clear(self) -> None:
+        self.listener.partial_bytes -= len(self.partial)
+        self.partial.clear()
 
 
 class StreamConnection(asyncio.Protocol):
@@ -288,4 +343,6 @@
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
 
 
-STREAM_TRANSPORT = Transport(StreamListener, StreamConnection)
+def make_stream_transport(limits: LinkLimits) -> Transport:
+    """Returns the transport of a process whose accepted links have limits."""
+    return Transport(partial(StreamListener, limits=limits), StreamConnection)
--- a/src/jackdawkeel/link/transport.py
+++ b/src/jackdawkeel/link/transport.py
@@ -39,14 +39,14 @@
 
     Attributes:
         listen: Listens on a link address. Each envelope is passed to the second
-            argument; the third one is called with the reason, the peer and details if
-            a connection can't be accepted, or is closed because its data is invalid.
-            Raises ``StartError``.
+            argument, which returns whether it is valid; the third one is called with
+            the reason, the peer and details if a connection can't be accepted, or is
+            closed because of its data or a limit. Raises ``StartError``.
         dial: Connects from an IP to a link address in the background. The third
             argument is called when an established connection is lost, on any thread.
     """
 
     listen: Callable[
-        [str, Callable[[bytes], None], Callable[[str, str, str], None]], Listener
+        [str, Callable[[bytes], bool], Callable[[str, str, str], None]], Listener
     ]
     dial: Callable[[str, str, Callable[[], None]], Connection]
--- a/src/jackdawkeel/scheduling/entry_node.py
+++ b/src/jackdawkeel/scheduling/entry_node.py
@@ -10,6 +10,7 @@
 
 from ..clock import read_boot_clock
 from ..connections.limits import limit_callers
+from ..connections.limits import limit_links
 from ..connections.refusals import REPORT_INTERVAL_S
 from ..connections.refusals import RefusalCounts
 from ..connections.refusals import RefusalLog
@@ -23,7 +24,7 @@
 from ..link.message_counts import count_messages
 from ..link.node import MAX_REDIAL_PAUSE_S
 from ..link.node import LinkNode
-from ..link.stream import STREAM_TRANSPORT
+from ..link.stream import make_stream_transport
 from ..messages import PeerAddress
 from ..messages.ownership import JobWithdrawal
 from ..messages.ownership import OpenJobs
@@ -122,7 +123,7 @@
             address=self.address,
             clock=self.clock,
             log=log,
-            transport=STREAM_TRANSPORT,
+            transport=make_stream_transport(limit_links(settings.machine)),
             deliver=self.deliver,
             max_redial_pause_s=MAX_REDIAL_PAUSE_S,
         )
--- a/tests/link/test_node.py
+++ b/tests/link/test_node.py
@@ -14,6 +14,8 @@
 import pynng
 
 from jackdawkeel.clock import read_boot_clock
+from jackdawkeel.connections.limits import limit_links
+from jackdawkeel.connections.limits import read_machine_limits
 from jackdawkeel.errors import StartError
 from jackdawkeel.link.address import split_link_address
 from jackdawkeel.link.limits import MAX_ENVELOPE_BYTES
@@ -24,7 +26,7 @@
 from jackdawkeel.link.node import SEND_RETRY_DELAY_S
 from jackdawkeel.link.node import LinkNode
 from jackdawkeel.link.node import OutboundLink
-from jackdawkeel.link.stream import STREAM_TRANSPORT
+from jackdawkeel.link.stream import make_stream_transport
 from jackdawkeel.messages import PROTOCOL_VERSION
 from jackdawkeel.messages import Envelope
 from jackdawkeel.messages import JobQuery
@@ -259,7 +261,7 @@
 
 
 class StreamLinkNodeTest(LinkNodeTest):
-    transport = STREAM_TRANSPORT
+    transport = make_stream_transport(limit_links(read_machine_limits()))
 
     async def send_bodies(self, bodies: list[bytes]) -> None:
         frames = b"".join(len(body).to_bytes(4) + body for body in bodies)
