HTTP: the largest body follows from the memory of the process

Cause: decoded values take several times the length of a body, and one body could take half of the memory for messages.

Change: one body may have a 24th of the memory, so that a process with 192 MB and more still takes bodies of 8 MiB.

--- a/src/jackdawkeel/connections/limits.py
+++ b/src/jackdawkeel/connections/limits.py
@@ -42,6 +42,8 @@
 MAX_INTERNAL_CONNECTIONS = 64
 # Share of the memory for messages that have not been handled and answers not taken.
 MESSAGE_MEMORY_SHARE = 0.125
+# Share of the memory for one body, whose decoded values take several times as much.
+BODY_SHARE = 1 / 24
 INTERNAL_MESSAGE_MEMORY_BYTES = 4 * MIB
 LINK_MEMORY_SHARE = 0.125
 # A connection that holds less never gives way to others for its memory.
@@ -111,7 +113,7 @@
     return ListenerLimits(
         max_connections=max(MIN_CALLER_CONNECTIONS, int(shared * CALLER_SHARE)),
         memory_bytes=memory_bytes,
-        max_body_bytes=min(max_body_bytes, memory_bytes // 2),
+        max_body_bytes=min(max_body_bytes, int(machine.memory_bytes * BODY_SHARE)),
     )
 
 
--- a/tests/clients/test_large_jobs.py
+++ b/tests/clients/test_large_jobs.py
@@ -24,6 +24,8 @@
 
 UNFINISHED_BODIES = 30
 UNFINISHED_BYTES = 7 * MIB
+MEDIUM_BODIES = 60
+MEDIUM_BYTES = 2 * MIB
 BODY_BYTES = 8 * MIB
 WIDEST_STEPS = 1000
 MOST_TASKS = 10_000
@@ -61,6 +63,12 @@
             crowd.send_once(head + b" " * UNFINISHED_BYTES)
             self.assert_entry_serves()
 
+    def test_many_bodies_that_are_not_finished(self) -> None:
+        head = self.make_job_head(f"Content-Length: {MEDIUM_BYTES + 1}\r\n")
+        with Crowd(self.callers, MEDIUM_BODIES) as crowd:
+            crowd.send_once(head + b" " * MEDIUM_BYTES)
+            self.assert_entry_serves()
+
     def test_job_of_many_empty_steps(self) -> None:
         steps = b"{}," * (BODY_BYTES // len(b"{},") - 100) + b"{}"
         self.assert_entry_bears_jobs(
