HTTP: an answer does not give way for its own size alone

What callers saw: an answer above an eighth of the memory, such as one of many tasks with results of 4 MiB, was cut off while its caller took it, as soon as any other request arrived.

Cause: answers that are not taken count as messages, and the largest one gives way over the limit.

Change: an answer that alone exceeds the limit is delivered; what the other connections hold is limited beside it.

--- a/src/jackdawkeel/connections/intake.py
+++ b/src/jackdawkeel/connections/intake.py
@@ -265,13 +265,19 @@
         """Refuses the largest messages; returns whether the current one may go on."""
         while self.memory.is_exceeded:
             largest = self.waiting.find_largest(current)
-            if largest is None:
+            if largest is None or self._is_only_answer(largest):
                 return True
             self._refuse(largest, RefusalCause.MEMORY, OUT_OF_MEMORY)
             if largest is current:
                 return False
         return True
 
+    def _is_only_answer(self, largest: ClientConnection) -> bool:
+        """Returns whether an answer alone exceeds the limit; it is delivered."""
+        others = self.memory.held_bytes - largest.held_bytes
+        is_answer = self.waiting.find_phase(largest) is ConnectionPhase.ANSWERING
+        return is_answer and others <= self.limits.memory_bytes
+
     def _has_room(self) -> bool:
         """Returns whether another connection may be held; one may give way to it."""
         if len(self.connections) < self.limits.max_connections:
