--- a/review/standins_3/deployment.py
+++ b/review/standins_3/deployment.py
@@ -14,20 +14,28 @@
 import time
 import tomllib
 from pathlib import Path
+from typing import TYPE_CHECKING
 from typing import Any
 
 from tests.standins.platform_store import PlatformStoreStandin
 
 from .minion import Minion
 from .minion import Run
+from .proxy import ResettingProxy
 from .record import Record
 
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
 REPOSITORY = Path(__file__).resolve().parents[2]
 ZONES = ("north", "middle", "south")
 HOST = "queue.example"
 PREFIX = "/nights/"
 SERVICE = "nights-api"
+RETRANSMIT_S = 1.3
+MAX_TRIES = 8
 STANDARD_SETTINGS = """\
 region=east
 zones.north=east
@@ -158,6 +166,9 @@
         self.minions: list[Minion] = []
         self.store = PlatformStoreStandin(new_host(1))
         self.store.__enter__()
+        # The way of the first edge machine to the store.
+        host = new_host(2)
+        self.store_path = ResettingProxy(host, free_port(host), self.store.address)
         self.labels = labels
         self.edge_count = edges
         deploy = tomllib.loads((REPOSITORY / "deploy/system.toml").read_text())
@@ -234,10 +245,12 @@
     ) -> Program:
         name = f"{kind}-{ZONES[index % 3]}-{index}"
         path = Path(self.folder.name, f"{name}.conf")
+        is_first_edge = kind == "edge" and not index
+        store = self.store_path.address if is_first_edge else self.store.address
         path.write_text(
             f"nodeName={name}\nrole={kind}\nmachineClass={kind}\nip={host}\n"
             f"zone={ZONES[index % 3]}\nportRange={port},{port + 15}\nseeds={seeds}\n"
-            f"platform.address={self.store.address}\n{own}{STANDARD_SETTINGS}"
+            f"platform.address={store}\n{own}{STANDARD_SETTINGS}"
         )
         return Program(name, self.commands[kind], path)
 
@@ -352,20 +365,38 @@
 def submit(
     record: Record,
     who: str,
-    addresses: list[str],
+    choose: Callable[[int | None], str],
+    home: int,
     job_id: str,
     body: Any,
-    retransmit_s: float = 1.3,
-) -> tuple[int, str]:
-    """Submits a job; sends it again to the next address after no response, 502 or 504."""
-    answer = (0, "")
-    for number, address in enumerate(addresses):
+    budget_s: float = 60.0,
+) -> None:
+    """Hands a job in, and again after no response, 502 or 504, to any node.
+
+    Args:
+        record: The record of the case.
+        who: Name of the client.
+        choose: Returns the address that a new channel reaches.
+        home: Number of the edge machine that the client's hash selects.
+        job_id: Id of the job.
+        body: The job.
+        budget_s: How long the client waits for a response, in seconds.
+    """
+    for number in range(MAX_TRIES):
         if number:
-            time.sleep(retransmit_s)
-        answer = call(record, who, address, "POST", f"{PREFIX}{job_id}", body)
-        if answer[0] not in (0, 502, 504):
-            break
-    return answer
+            time.sleep(RETRANSMIT_S)
+        status, _ = call(
+            record,
+            who,
+            choose(None if number else home),
+            "POST",
+            f"{PREFIX}{job_id}",
+            body,
+            timeout_s=budget_s,
+            deadline_ms=int(1000 * budget_s),
+        )
+        if status not in (0, 502, 504):
+            return
 
 
 def has_trouble() -> bool:
@@ -383,14 +414,21 @@
     return 1 if broken else 0
 
 
+def _raise_interrupt(*_: object) -> None:
+    raise KeyboardInterrupt
+
+
 def run_case(path: str, play: Any) -> None:
     """Plays a case and exits with its code; 2 if it couldn't run."""
     record = Record(str(Path(path).resolve().parent / "record.txt"))
+    for number in (signal.SIGTERM, signal.SIGINT):
+        # The processes of the case are ended, as after any other exception.
+        signal.signal(number, _raise_interrupt)
     try:
         code = play(record)
     except CannotRun:
         code = 2
-    except Exception as error:
+    except (Exception, KeyboardInterrupt) as error:
         record.add("case", f"couldn't run: {error!r}")
         print(f"couldn't run: {error!r}", file=sys.stderr)
         code = 2
--- a/review/standins_3/minion.py
+++ b/review/standins_3/minion.py
@@ -37,6 +37,7 @@
     attempt: int
     started_at: float
     work_s: float
+    begun_ms: int = 0
     ended_at: float = 0.0
     how: str = ""
 
@@ -82,6 +83,8 @@
         self.changed = threading.Condition()
         self.server: Server | None = None
         self.connections: set[Any] = set()
+        self.suspended_at: float | None = None
+        self.suspended_s = 0.0
 
     # One life.
 
@@ -97,6 +100,7 @@
             self.is_up = True
             self.born = int(time.time() * 1000) + clock_error_ms
             self.clock_started_at = time.monotonic()
+            self.suspended_s = 0.0
             self.sequence = 0
             self.lease_ms = 0.0
             self.token = 0
@@ -144,7 +148,27 @@
 
     def clock_ms(self) -> int:
         """Returns the minion's clock."""
-        return 1 + int((time.monotonic() - self.clock_started_at) * 1000)
+        now = time.monotonic() if self.suspended_at is None else self.suspended_at
+        return 1 + int((now - self.clock_started_at - self.suspended_s) * 1000)
+
+    def suspend(self) -> None:
+        """Suspends the minion with its machine: its steady clock stands still."""
+        with self.changed:
+            self.suspended_at = time.monotonic()
+            self.record.add(self.name, "its machine is suspended")
+
+    def resume(self) -> None:
+        """Resumes it."""
+        with self.changed:
+            if self.suspended_at is None:
+                return
+            self.suspended_s += time.monotonic() - self.suspended_at
+            self.suspended_at = None
+            self.record.add(self.name, "its machine goes on")
+            self.changed.notify_all()
+
+    def _wait_until_resumed(self) -> None:
+        self.changed.wait_for(lambda: self.suspended_at is None or not self.is_up)
 
     def _work(self, life: int) -> None:
         while self.is_up and self.life == life:
@@ -152,18 +176,31 @@
             with self.changed:
                 if not self.is_up or self.life != life:
                     return
-                now = self.record.now()
-                for run in list(self.running.values()):
-                    if self.clock_ms() > self.lease_ms:
-                        self._end(run, "lapsed")
-                    elif now - run.started_at >= run.work_s:
-                        self._end(run, "done")
-
-    def _end(self, run: Run, how: str, listed: bool = True) -> None:
+                if self.suspended_at is not None:
+                    continue
+                self._end_due()
+
+    def _end_due(self) -> None:
+        """Ends the runs whose work is done or whose lease has expired, on time.
+
+        It comes before each call, because a lease that has expired can't be renewed.
+        """
+        now_ms = self.clock_ms()
+        for run in list(self.running.values()):
+            done_ms = run.begun_ms + 1000 * run.work_s
+            end_ms = min(done_ms, self.lease_ms)
+            if now_ms >= end_ms:
+                how = "done" if done_ms <= self.lease_ms else "lapsed"
+                self._end(run, how, late_s=(now_ms - end_ms) / 1000)
+
+    def _end(
+        self, run: Run, how: str, listed: bool = True, late_s: float = 0.0
+    ) -> None:
         run.how = how
-        run.ended_at = self.record.add(
+        at = self.record.add(
             self.name, f"run {run.task} attempt {run.attempt} ends {how}"
         )
+        run.ended_at = at - late_s
         del self.running[run.task, run.attempt]
         self.over[run.task] = max(self.over.get(run.task, 0), run.attempt)
         if listed:
@@ -174,6 +211,9 @@
     def _beat(self, life: int, first_beat_s: float) -> None:
         time.sleep(first_beat_s)
         while self.is_up and self.life == life:
+            if self.suspended_at is not None:
+                time.sleep(0.02)
+                continue
             self._send_beat()
             wake_at = time.monotonic() + self.heartbeat_s
             while self.is_up and self.life == life and time.monotonic() < wake_at:
@@ -224,10 +264,12 @@
     def answer(self, path: str, instance: str | None, body: dict[str, Any]) -> Any:
         """Returns status and body of the answer; None closes the channel."""
         with self.changed:
+            self._wait_until_resumed()
             if not self.is_up:
                 return None
             if instance is not None and instance != self.instance:
                 return 421, {"clockMs": self.clock_ms()}
+            self._end_due()
             match path:
                 case "/-/run-start":
                     return self._start_run(body)
@@ -265,7 +307,8 @@
             f"run {key[0]} attempt {key[1]} starts, life {self.life},"
             f" labels {self.labels}",
         )
-        run = Run(self.name, self.life, tuple(self.labels), *key, at, work_s)
+        labels = tuple(self.labels)
+        run = Run(self.name, self.life, labels, *key, at, work_s, self.clock_ms())
         self.running[key] = run
         self.runs.append(run)
         return 200, {"clockMs": self.clock_ms()}
@@ -292,9 +335,11 @@
         self.finished = [row for row in self.finished if row[0] > acked]
         if not self.finished:
             self.changed.wait(min(body.get("waitMs", 0), 2000) / 1000)
+            self._wait_until_resumed()
+            self._end_due()
         if not self.is_up or self.life != life:
             return None
-        now = self.record.now()
+        now_ms = self.clock_ms()
         return 200, {
             "clockMs": self.clock_ms(),
             "running": [
@@ -302,7 +347,7 @@
                     run.task,
                     run.attempt,
                     "",
-                    min(99, int(100 * (now - run.started_at) / run.work_s)),
+                    min(99, int((now_ms - run.begun_ms) / (10 * run.work_s))),
                     1000,
                 ]
                 for run in self.running.values()
--- a/review/standins_3/proxy.py
+++ b/review/standins_3/proxy.py
@@ -1,7 +1,8 @@
-"""A proxy between clients and an edge machine that can reset channels on both sides."""
+"""A proxy before an address, which resets channels or lets them fall silent."""
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import struct
 import threading
@@ -25,6 +26,9 @@
         self.address = f"{host}:{port}"
         self.channels: list[tuple[socket.socket, socket.socket]] = []
         self.lock = threading.Lock()
+        self.is_dark = False
+        self.is_refusing = False
+        self.held: list[socket.socket] = []
         threading.Thread(target=self._accept, daemon=True).start()
 
     def _accept(self) -> None:
@@ -33,6 +37,12 @@
                 client, _ = self.listener.accept()
             except OSError:
                 return
+            if self.is_refusing:
+                _reset(client)
+                continue
+            if self.is_dark:
+                self.held.append(client)
+                continue
             host, _, port = self.upstream.rpartition(":")
             try:
                 server = socket.create_connection((host, int(port)), 5.0)
@@ -59,6 +69,8 @@
         while True:
             try:
                 data = source.recv(RECEIVE_BYTES)
+                if self.is_silent(pair):
+                    return
                 if not data:
                     sink.shutdown(socket.SHUT_WR)
                     return
@@ -68,6 +80,8 @@
             except OSError:
                 self._end(pair)
                 return
+            if self.is_silent(pair):
+                return
 
     def _end(self, pair: tuple[socket.socket, socket.socket]) -> None:
         with self.lock:
@@ -76,15 +90,37 @@
         for end in pair:
             end.close()
 
+    def is_silent(self, pair: tuple[socket.socket, socket.socket]) -> bool:
+        """Returns whether nothing passes on a channel any more."""
+        return self.is_dark or pair not in self.channels
+
+    def fall_silent(self) -> None:
+        """Cuts all channels without a reset, as if the machine had lost its power."""
+        with self.lock:
+            self.is_dark = True
+            self.held += [end for pair in self.channels for end in pair]
+            self.channels.clear()
+
+    def go_on(self) -> None:
+        """Serves new channels again."""
+        self.is_dark = self.is_refusing = False
+
+    def refuse(self) -> None:
+        """Resets all channels, and each new one."""
+        self.is_refusing = True
+        self.reset(len(self.channels))
+
     def reset(self, count: int) -> int:
         """Resets that many channels, on both sides; returns how many were open."""
         with self.lock:
             chosen, self.channels = self.channels[:count], self.channels[count:]
         for pair in chosen:
             for end in pair:
-                try:
-                    end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RST_ON_CLOSE)
-                    end.close()
-                except OSError:
-                    continue
+                _reset(end)
         return len(chosen)
+
+
+def _reset(end: socket.socket) -> None:
+    with contextlib.suppress(OSError):
+        end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RST_ON_CLOSE)
+        end.close()
